--- a/libs/node/peer_task.h
+++ b/libs/node/peer_task.h
@@ -8,23 +8,23 @@
 #ifndef SNIPE_PEER_TASK_H
 #define SNIPE_PEER_TASK_H
 
+#include <glib.h>
 #include <stdint.h>
 
 #include "base/address.h"
-#include "base/counters.h"
 #include "wire/message.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
+struct event;
 struct event_base;
 struct evconnlistener;
-struct snipe_link;
 
 /* A received request, to be answered with snipe_peer_reply. */
 struct snipe_peer_origin {
-	int link; /* handle of the link; stale handles are recognized and ignored */
+	uint64_t link; /* handle of the link; stale handles are recognized and ignored */
 	uint32_t stream;
 	char node_id[SNIPE_NAME_SIZE];
 };
@@ -51,20 +51,25 @@
 struct snipe_peer_task {
 	struct event_base *base;
 	struct evconnlistener *listener;
+	struct event *tick;
+	struct event *local_wake;
 	struct snipe_address self;
 	char node_id[SNIPE_NAME_SIZE];
 	uint64_t process;
 	const char *secret;
-	struct snipe_counters *counters;
 	struct {
 		snipe_peer_handler fn;
 		void *arg;
 	} handlers[SNIPE_MSG_TYPE_COUNT];
-	struct snipe_link **links; /* table of handles */
-	int link_count;
-	struct event *tick;
-	struct snipe_local_queue *local;
+	GPtrArray *links;	    /* of struct snipe_link, NULL for free handles */
+	GHashTable *by_address;	    /* text address -> outgoing link */
+	GHashTable *requests;	    /* request id -> open request */
+	GQueue local;		    /* messages to and from the node itself */
+	GHashTable *local_requests; /* stream -> open request to the node itself */
+	uint32_t local_stream;
+	struct snipe_buffer scratch;
 	uint64_t next_request;
+	uint32_t next_generation;
 };
 
 struct snipe_peer_config {
@@ -73,7 +78,6 @@
 	const char *node_id;
 	uint64_t process;
 	const char *secret; /* must stay valid */
-	struct snipe_counters *counters;
 };
 
 /* Listens. Returns 0 or SNIPE_ERR_IO with the remedy in err. */
