Read and check tables, settings and keys

The tables, settings and keys had interfaces only. All problems of both tables are reported in one go, each with file, line, key and remedy, and nothing is loaded when there is one.

Request paths are matched in decoded form (percent-encoding, repeated slashes), and paths with dot segments or backslashes match no route: otherwise "/%62ookings" would match an open "/*" route while the backend server serves the closed "/bookings".

struct snipe_write_record moves out of struct snipe_tables_document, because C++ does not see a nested struct at file scope, which keys.h needs.

--- a/libs/config/keys.h
+++ b/libs/config/keys.h
@@ -29,7 +29,7 @@
 	struct snipe_key *entries; /* sorted by hash */
 	int count;
 	char write_id[40];
-	struct snipe_write_record history[16];
+	struct snipe_write_record history[SNIPE_HISTORY_MAX]; /* newest first */
 	int history_count;
 };
 
--- a/libs/config/settings.h
+++ b/libs/config/settings.h
@@ -34,7 +34,8 @@
 	int fixed_limit; /* [overload] fixed_limit: running calls for policy "fixed" */
 };
 
-/* Returns 0, SNIPE_ERR_IO, SNIPE_ERR_SYNTAX or SNIPE_ERR_INVALID with all problems listed. */
+/* Returns 0, SNIPE_ERR_IO, SNIPE_ERR_SYNTAX, SNIPE_ERR_TOO_LARGE (over 64 KB) or
+ * SNIPE_ERR_INVALID, with all problems listed. */
 int snipe_settings_load_file(struct snipe_settings *s, const char *path,
 			     struct snipe_problems *problems);
 int snipe_settings_load(struct snipe_settings *s, const char *toml, const char *name,
--- a/libs/config/tables.h
+++ b/libs/config/tables.h
@@ -54,6 +54,7 @@
 	int queue;	 /* waiting calls for each backend server */
 };
 
+/* Routes are sorted for snipe_tables_match, workspaces and pools by name. */
 struct snipe_tables {
 	struct snipe_route *routes;
 	int route_count;
@@ -84,8 +85,13 @@
 		      struct snipe_problems *problems);
 void snipe_tables_finish(struct snipe_tables *tables);
 
-/* Finds the route with the longest matching path for a method and a path without query.
- * Returns an index or SNIPE_ERR_NOT_FOUND. */
+/*
+ * Finds the route with the longest matching path for a method and a path without query.
+ * The path is compared with percent-encoding decoded and repeated slashes joined. A path with
+ * a "." or ".." segment, a backslash, a null byte or a malformed encoding matches no route,
+ * because a backend server may read it as a path of another route, which may need a key.
+ * Returns an index or SNIPE_ERR_NOT_FOUND.
+ */
 int snipe_tables_match(const struct snipe_tables *tables, const char *method, const char *path);
 
 /* Return an index or SNIPE_ERR_NOT_FOUND. */
@@ -95,6 +101,24 @@
 
 const char *snipe_importance_name(enum snipe_importance importance);
 
+/*
+ * Lists the differences between two tables, one line each: "+ route NAME", "- route NAME",
+ * "~ route NAME: KEY OLD -> NEW", and the same for workspaces and pools. Returns the number of
+ * lines added.
+ */
+int snipe_tables_diff(const struct snipe_tables *before, const struct snipe_tables *after,
+		      struct snipe_problems *lines);
+
+#define SNIPE_HISTORY_MAX 16
+
+/* One write of a platform object. history[0] is the write that made the value. */
+struct snipe_write_record {
+	char write_id[40];
+	char operator_name[SNIPE_NAME_SIZE];
+	char time[32]; /* RFC 3339, UTC */
+	char note[128];
+};
+
 /*
  * The value of the platform object config/tables: JSON with both files as text, the write_id of
  * the write that made it, and the history of the last 16 writes.
@@ -103,12 +127,7 @@
 	char *routes_toml;
 	char *pools_toml;
 	char write_id[40];
-	struct snipe_write_record {
-		char write_id[40];
-		char operator_name[SNIPE_NAME_SIZE];
-		char time[32]; /* RFC 3339, UTC */
-		char note[128];
-	} history[16]; /* newest first */
+	struct snipe_write_record history[SNIPE_HISTORY_MAX]; /* newest first */
 	int history_count;
 };
 
@@ -116,9 +135,14 @@
 void snipe_tables_document_finish(struct snipe_tables_document *doc);
 int snipe_tables_document_parse(struct snipe_tables_document *doc, const char *json, size_t len,
 				struct snipe_error_text *err);
-/* Returns a string to be freed with g_free. */
+/* Returns a string to be freed with g_free. The caller checks its length against the size
+ * limit of the platform, because quotes and line ends take two bytes in JSON. */
 char *snipe_tables_document_print(const struct snipe_tables_document *doc);
 
+/* Puts a record in front of a history and drops the oldest when it is full. */
+void snipe_history_push(struct snipe_write_record *history, int *count,
+			const struct snipe_write_record *record);
+
 #ifdef __cplusplus
 }
 #endif
