Add the HTTP client of the platform's object API

libs/platform had a stub. Reads, watches and conditional writes now run over evhttp, each on a connection of its own, with one deadline and with the callback always from the event loop.

--- a/libs/platform/object_store.h
+++ b/libs/platform/object_store.h
@@ -41,7 +41,8 @@
 struct snipe_object_store_ops {
 	int (*get)(struct snipe_object_store *store, const char *kind, const char *name,
 		   int timeout_ms, snipe_object_cb cb, void *arg);
-	/* Waits up to wait_ms for a version above after. */
+	/* Waits up to wait_ms for a version above after; the whole call may take wait_ms +
+	 * timeout_ms. */
 	int (*watch)(struct snipe_object_store *store, const char *kind, const char *name,
 		     uint64_t after, int wait_ms, int timeout_ms, snipe_object_cb cb,
 		     void *arg);
@@ -54,14 +55,23 @@
 	void (*finish)(struct snipe_object_store *store);
 };
 
-/* Operations return a handle above 0, or a negative error. */
+/*
+ * Operations return a handle above 0, or a negative error: SNIPE_ERR_INVALID for a kind or name
+ * that is no word of a-z, 0-9, '-' and '.', SNIPE_ERR_TOO_LARGE for a value over
+ * SNIPE_OBJECT_MAX_BYTES. The value of a put is copied.
+ */
 struct snipe_object_store {
 	const struct snipe_object_store_ops *ops;
 };
 
 struct snipe_http_store_call;
 
-/* The HTTP form of the object API (docs/design.md, section 4), over evhttp. */
+/*
+ * The HTTP form of the object API (docs/design.md, section 4), over evhttp. Each operation uses
+ * a connection of its own, so that a connection that stopped carrying data delays one operation
+ * only, and a write is never sent on a connection that the platform is about to close.
+ * The process must ignore SIGPIPE.
+ */
 struct snipe_http_store {
 	struct snipe_object_store store; /* first member: the vtable */
 	struct event_base *base;
