Implement membership, control state, ownership, quota and dedup

Cause: only the headers of these modules existed.

Interface changes that the work showed to be needed: - struct snipe_digest has echo and held_us. A digest that waits in the socket buffer of a paused node would otherwise confirm old state when the node resumes, so that a former owner could act beside the new one. Age now counts from the receiver's own SUBSCRIBE. - snipe_control_state_init takes a random echo key; snipe_control_state_echo is new. - snipe_quota_owner_init and snipe_dedup_init take a random first number, so that a late return or end of claim finds nothing at another owner. - snipe_quota_owner_should_wait tells the owner that other nodes hold unused tokens, so that an ask waits for their return instead of refusing calls within the rate. - snipe_ownership_plan takes the time: a drained owner that had not begun to act yet does not mark the shard as released. - snipe_membership_unsent puts back updates that did not fit into a datagram.

A node counts as the live node of its own failure domain only if no other node of it was seen for 10 minutes; otherwise a paused node in a fleet of one failure domain would take itself for an outage.

--- /dev/null
+++ b/libs/core/control_state.c
@@ -0,0 +1,323 @@
+#include "core/control_state.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+
+#define DOMAIN_MEMORY_US ((int64_t)600 * 1000000)
+
+/* What the digests of one peer said. */
+struct snipe_control_peer {
+	char domain[SNIPE_NAME_SIZE];
+	uint64_t versions[SNIPE_OBJECT_COUNT];
+	int64_t heard_us;     /* last arrival */
+	int64_t outage_us;    /* a digest that was not confirmed was sent at or after this */
+	int64_t confirmed_us; /* at the latest, the peer was confirmed by a read sent then */
+};
+
+void snipe_control_state_init(struct snipe_control_state *c, const char *node_id,
+			      const char *failure_domain, uint64_t echo_key, int64_t now_us)
+{
+	memset(c, 0, sizeof(*c));
+	for (int i = 0; i < SNIPE_OBJECT_COUNT; i++)
+		c->confirmed_at_us[i] = INT64_MIN;
+	c->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->domains = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_strlcpy(c->node_id, node_id, sizeof(c->node_id));
+	g_strlcpy(c->failure_domain, failure_domain, sizeof(c->failure_domain));
+	c->echo_key = echo_key;
+	c->neighbour_seen_us = now_us - 2 * DOMAIN_MEMORY_US;
+	c->started_us = now_us;
+}
+
+void snipe_control_state_finish(struct snipe_control_state *c)
+{
+	g_hash_table_destroy(c->peers);
+	g_hash_table_destroy(c->domains);
+}
+
+static void confirm(struct snipe_control_state *c, int id, int64_t at_us)
+{
+	if (at_us > c->confirmed_at_us[id])
+		c->confirmed_at_us[id] = at_us;
+}
+
+static int64_t confirmed_at(const struct snipe_control_state *c)
+{
+	int64_t at = INT64_MAX;
+
+	for (int i = 0; i < SNIPE_OBJECT_COUNT; i++)
+		at = MIN(at, c->confirmed_at_us[i]);
+	return at;
+}
+
+int snipe_control_state_read(struct snipe_control_state *c, enum snipe_object_id id,
+			     uint64_t version, int64_t sent_us)
+{
+	if (version < c->versions[id])
+		return 0;
+	confirm(c, id, sent_us);
+	if (version == c->versions[id])
+		return 0;
+	c->versions[id] = version;
+	return 1;
+}
+
+int snipe_control_state_object(struct snipe_control_state *c, enum snipe_object_id id,
+			       uint64_t version)
+{
+	if (version <= c->versions[id])
+		return 0;
+	/* The time of confirmation stays: the state is no older than the platform was then. */
+	c->versions[id] = version;
+	return 1;
+}
+
+uint64_t snipe_control_state_echo(const struct snipe_control_state *c, int64_t now_us)
+{
+	return (uint64_t)now_us + c->echo_key;
+}
+
+/* Returns the earliest time at which the digest can have been sent, INT64_MIN if it refers to
+ * no SUBSCRIBE of this process. */
+static int64_t sent_at(const struct snipe_control_state *c, int64_t now_us,
+		       const struct snipe_digest *digest)
+{
+	int64_t at = (int64_t)(digest->echo - c->echo_key);
+
+	if (!digest->echo || at < c->started_us || at > now_us || digest->held_us < 0)
+		return INT64_MIN;
+	return digest->held_us > now_us - at ? now_us : at + digest->held_us;
+}
+
+static struct snipe_control_peer *get_peer(struct snipe_control_state *c, const char *id)
+{
+	struct snipe_control_peer *p = g_hash_table_lookup(c->peers, id);
+
+	if (!p) {
+		p = g_new0(struct snipe_control_peer, 1);
+		p->outage_us = p->confirmed_us = INT64_MIN;
+		g_hash_table_insert(c->peers, g_strdup(id), p);
+	}
+	return p;
+}
+
+static void see_domain(struct snipe_control_state *c, const char *domain, int64_t at_us)
+{
+	int64_t *seen = g_hash_table_lookup(c->domains, domain);
+
+	if (!seen) {
+		seen = g_new(int64_t, 1);
+		*seen = at_us;
+		g_hash_table_insert(c->domains, g_strdup(domain), seen);
+	}
+	*seen = MAX(*seen, at_us);
+}
+
+unsigned snipe_control_state_digest(struct snipe_control_state *c, int64_t now_us,
+				    const char *from_id, const char *from_domain,
+				    const struct snipe_digest *digest)
+{
+	struct snipe_control_peer *p = get_peer(c, from_id);
+	int64_t at = sent_at(c, now_us, digest);
+	unsigned fetch = 0;
+
+	g_strlcpy(p->domain, from_domain, sizeof(p->domain));
+	p->heard_us = now_us;
+	if (digest->age_us < SNIPE_CONFIRM_LIMIT_US) {
+		p->confirmed_us = MAX(p->confirmed_us, now_us - digest->age_us);
+		p->outage_us = INT64_MIN;
+	} else if (digest->age_us != INT64_MAX) {
+		/* A peer that was never confirmed has just started and proves nothing. */
+		p->outage_us = MAX(p->outage_us, at);
+	}
+	for (int i = 0; i < SNIPE_OBJECT_COUNT; i++) {
+		p->versions[i] = MAX(p->versions[i], digest->versions[i]);
+		if (digest->versions[i] > c->versions[i])
+			fetch |= 1u << i;
+		else if (at != INT64_MIN && digest->age_us >= 0 && digest->age_us != INT64_MAX)
+			confirm(c, i, at - digest->age_us);
+	}
+	return fetch;
+}
+
+void snipe_control_state_own_digest(const struct snipe_control_state *c, int64_t now_us,
+				    struct snipe_digest *digest)
+{
+	int64_t at = confirmed_at(c);
+
+	memset(digest, 0, sizeof(*digest));
+	memcpy(digest->versions, c->versions, sizeof(digest->versions));
+	digest->age_us = at == INT64_MIN ? INT64_MAX : MAX(now_us - at, 0);
+}
+
+static gboolean is_forgotten(gpointer key, gpointer value, gpointer data)
+{
+	return *(int64_t *)value + DOMAIN_MEMORY_US < *(int64_t *)data;
+}
+
+static gboolean is_peer_forgotten(gpointer key, gpointer value, gpointer data)
+{
+	const struct snipe_control_peer *p = value;
+
+	return p->heard_us + DOMAIN_MEMORY_US < *(int64_t *)data;
+}
+
+void snipe_control_state_members(struct snipe_control_state *c, int64_t now_us,
+				 const struct snipe_membership *members)
+{
+	for (int i = 0; i < snipe_membership_count(members); i++) {
+		const struct snipe_member *m = snipe_membership_at(members, i);
+
+		int64_t at = snipe_member_is_live(m) ? now_us : m->state_since_us;
+
+		see_domain(c, m->failure_domain, at);
+		if (strcmp(m->node_id, c->node_id) != 0 &&
+		    !strcmp(m->failure_domain, c->failure_domain))
+			c->neighbour_seen_us = MAX(c->neighbour_seen_us, at);
+	}
+	see_domain(c, c->failure_domain, now_us);
+	g_hash_table_foreach_remove(c->domains, is_forgotten, &now_us);
+	g_hash_table_foreach_remove(c->peers, is_peer_forgotten, &now_us);
+}
+
+/* Returns the time until which outage mode holds, INT64_MIN if it does not hold. */
+static int64_t outage_until(const struct snipe_control_state *c, int64_t now_us)
+{
+	int is_alone = now_us - c->neighbour_seen_us > DOMAIN_MEMORY_US;
+	int64_t until = INT64_MAX;
+	GHashTableIter peers, domains;
+	gpointer key, value;
+
+	/* Whoever never was confirmed does not know what the newest state is. */
+	if (confirmed_at(c) == INT64_MIN)
+		return INT64_MIN;
+	/* A peer that is confirmed, or that holds a newer version, disproves the outage. */
+	g_hash_table_iter_init(&peers, c->peers);
+	while (g_hash_table_iter_next(&peers, NULL, &value)) {
+		const struct snipe_control_peer *p = value;
+
+		if (p->confirmed_us != INT64_MIN &&
+		    p->confirmed_us > now_us - SNIPE_CONFIRM_LIMIT_US)
+			return INT64_MIN;
+		for (int i = 0; i < SNIPE_OBJECT_COUNT; i++) {
+			if (p->versions[i] > c->versions[i])
+				return INT64_MIN;
+		}
+	}
+	g_hash_table_iter_init(&domains, c->domains);
+	while (g_hash_table_iter_next(&domains, &key, NULL)) {
+		/* Alone in its failure domain, the node itself is its live node. */
+		int64_t heard =
+			!strcmp(key, c->failure_domain) && is_alone ? now_us : INT64_MIN;
+
+		g_hash_table_iter_init(&peers, c->peers);
+		while (g_hash_table_iter_next(&peers, NULL, &value)) {
+			const struct snipe_control_peer *p = value;
+
+			if (!strcmp(p->domain, key))
+				heard = MAX(heard, p->outage_us);
+		}
+		if (heard == INT64_MIN)
+			return INT64_MIN;
+		until = MIN(until, heard + SNIPE_CONFIRM_LIMIT_US);
+	}
+	return until == INT64_MAX ? INT64_MIN : until;
+}
+
+enum snipe_control_mode snipe_control_state_mode(const struct snipe_control_state *c,
+						 int64_t now_us)
+{
+	int64_t at = confirmed_at(c);
+
+	if (at != INT64_MIN && now_us < at + SNIPE_CONFIRM_LIMIT_US)
+		return SNIPE_CONTROL_CONFIRMED;
+	return outage_until(c, now_us) > now_us ? SNIPE_CONTROL_OUTAGE
+						: SNIPE_CONTROL_UNCONFIRMED;
+}
+
+int64_t snipe_control_state_valid_until(const struct snipe_control_state *c, int64_t now_us)
+{
+	int64_t at = confirmed_at(c), until;
+
+	if (at != INT64_MIN && now_us < at + SNIPE_CONFIRM_LIMIT_US)
+		return at + SNIPE_CONFIRM_LIMIT_US;
+	until = outage_until(c, now_us);
+	return until > now_us ? until : now_us;
+}
+
+struct ranked {
+	uint64_t hash;
+	const struct snipe_member *member;
+};
+
+static gint compare_ranked(gconstpointer a, gconstpointer b)
+{
+	const struct ranked *x = a, *y = b;
+
+	if (x->hash != y->hash)
+		return x->hash < y->hash ? -1 : 1;
+	return strcmp(x->member->node_id, y->member->node_id);
+}
+
+/* The live nodes of the own failure domain in the order of their ranks. */
+static GArray *rank_members(const struct snipe_control_state *c,
+			    const struct snipe_membership *members)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct ranked));
+
+	for (int i = 0; i < snipe_membership_count(members); i++) {
+		const struct snipe_member *m = snipe_membership_at(members, i);
+		struct ranked r = {0, m};
+
+		if (!snipe_member_is_live(m) ||
+		    strcmp(m->failure_domain, c->failure_domain) != 0)
+			continue;
+		r.hash = snipe_hash64_str(m->node_id);
+		g_array_append_val(list, r);
+	}
+	g_array_sort(list, compare_ranked);
+	return list;
+}
+
+static void choose_second_parent(const struct snipe_control_state *c,
+				 const struct snipe_membership *members, GRand *rng,
+				 struct snipe_tree_role *role)
+{
+	int seen = 0;
+
+	for (int i = 0; i < snipe_membership_count(members); i++) {
+		const struct snipe_member *m = snipe_membership_at(members, i);
+
+		if (!snipe_member_is_live(m) || !strcmp(m->node_id, c->node_id) ||
+		    !strcmp(m->node_id, role->parent_id))
+			continue;
+		if (g_rand_int_range(rng, 0, ++seen) == 0)
+			g_strlcpy(role->second_parent_id, m->node_id,
+				  sizeof(role->second_parent_id));
+	}
+}
+
+void snipe_control_state_role(const struct snipe_control_state *c,
+			      const struct snipe_membership *members, GRand *rng,
+			      struct snipe_tree_role *role)
+{
+	GArray *list = rank_members(c, members);
+	guint i, parent;
+
+	memset(role, 0, sizeof(*role));
+	for (i = 0; i < list->len; i++) {
+		if (!strcmp(g_array_index(list, struct ranked, i).member->node_id, c->node_id))
+			break;
+	}
+	role->rank = (int)i;
+	role->is_reader = i < SNIPE_READERS_PER_DOMAIN;
+	if (!role->is_reader && i < list->len) {
+		parent = (i - SNIPE_READERS_PER_DOMAIN) / SNIPE_TREE_FANOUT;
+		g_strlcpy(role->parent_id,
+			  g_array_index(list, struct ranked, parent).member->node_id,
+			  sizeof(role->parent_id));
+	}
+	g_array_free(list, TRUE);
+	choose_second_parent(c, members, rng, role);
+}
--- a/libs/core/control_state.h
+++ b/libs/core/control_state.h
@@ -24,10 +24,19 @@
 #define SNIPE_READERS_PER_DOMAIN 2
 #define SNIPE_TREE_FANOUT 8
 
-/* Versions held by a node, and how long ago a platform read that returned them was sent. */
+/*
+ * Versions held by a node, and how long ago a platform read that returned them was sent.
+ *
+ * A digest may wait in a network or, while its receiver is paused, in a socket buffer. Its
+ * receiver therefore does not count from its arrival but from its own SUBSCRIBE that the digest
+ * refers to: echo is a value of the subscriber, and held_us is the time from the arrival of
+ * that SUBSCRIBE to the sending of the digest.
+ */
 struct snipe_digest {
 	uint64_t versions[SNIPE_OBJECT_COUNT];
 	int64_t age_us; /* INT64_MAX: never confirmed */
+	uint64_t echo;	/* in SUBSCRIBE: to be sent back; 0 in a digest: refers to none */
+	int64_t held_us;
 };
 
 enum snipe_control_mode {
@@ -44,13 +53,16 @@
 	int64_t confirmed_at_us[SNIPE_OBJECT_COUNT]; /* INT64_MIN: never */
 	GHashTable *peers;   /* node id -> last digest, when and from which failure domain */
 	GHashTable *domains; /* failure domain -> when a live member was last seen */
+	int64_t neighbour_seen_us; /* as in domains, of other nodes in the own one */
+	uint64_t echo_key;	   /* makes echoes of other processes useless */
 	char failure_domain[SNIPE_NAME_SIZE];
 	char node_id[SNIPE_NAME_SIZE];
 	int64_t started_us;
 };
 
+/* echo_key is a random number that no other process uses. */
 void snipe_control_state_init(struct snipe_control_state *c, const char *node_id,
-			      const char *failure_domain, int64_t now_us);
+			      const char *failure_domain, uint64_t echo_key, int64_t now_us);
 void snipe_control_state_finish(struct snipe_control_state *c);
 
 /* A platform read sent at sent_us returned this version. Returns 1 if it is newer than what is
@@ -62,19 +74,24 @@
 int snipe_control_state_object(struct snipe_control_state *c, enum snipe_object_id id,
 			       uint64_t version);
 
+/* Returns the echo for a SUBSCRIBE that is sent now. */
+uint64_t snipe_control_state_echo(const struct snipe_control_state *c, int64_t now_us);
+
 /*
  * A digest came from a peer. Returns a bit mask (1 << id) of the objects to be fetched from it.
+ * Without a valid echo it confirms nothing, but still shows newer versions and that a peer is
+ * confirmed.
  */
 unsigned snipe_control_state_digest(struct snipe_control_state *c, int64_t now_us,
 				    const char *from_id, const char *from_domain,
 				    const struct snipe_digest *digest);
 
-/* The own digest, for children in the tree. */
+/* The own digest, for children in the tree; echo and held_us are 0. */
 void snipe_control_state_own_digest(const struct snipe_control_state *c, int64_t now_us,
 				    struct snipe_digest *digest);
 
-/* Member list changed: keeps the known failure domains, each forgotten 10 minutes after its
- * last live node was seen. */
+/* Keeps the known failure domains, each forgotten 10 minutes after its last live node was seen.
+ * Call after changes of the member list and every few seconds. */
 void snipe_control_state_members(struct snipe_control_state *c, int64_t now_us,
 				 const struct snipe_membership *members);
 
--- /dev/null
+++ b/libs/core/dedup.c
@@ -0,0 +1,284 @@
+#include "core/dedup.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "base/hash.h"
+#include "core/ownership.h"
+
+#define IDENTIFIER_LEN 36
+/* Hash table slots, tree node and list link of one record, rounded up. */
+#define RECORD_OVERHEAD 160
+
+enum record_state {
+	RECORD_CLAIMED,
+	RECORD_DONE,
+	RECORD_UNKNOWN,
+	RECORD_RELEASED,
+};
+
+struct snipe_dedup_record {
+	char *key; /* workspace, newline, identifier in lower case */
+	uint64_t fingerprint;
+	uint64_t claim;
+	int64_t id_wall_ms;
+	enum record_state state;
+	int shard;
+	char *answer; /* NULL: none or evicted */
+	size_t answer_len;
+	GSequenceIter *expiry;
+	GList *body; /* link in the queue of stored bodies, NULL if none */
+};
+
+int snipe_identifier_time(const char *identifier, int64_t *wall_ms)
+{
+	static const char form[] = "xxxxxxxx-xxxx-7xxx-vxxx-xxxxxxxxxxxx";
+	int64_t ms = 0;
+
+	if (strlen(identifier) != IDENTIFIER_LEN)
+		return SNIPE_ERR_SYNTAX;
+	for (int i = 0; i < IDENTIFIER_LEN; i++) {
+		int digit = g_ascii_xdigit_value(identifier[i]);
+
+		if (form[i] == '-' ? identifier[i] != '-' : digit < 0)
+			return SNIPE_ERR_SYNTAX;
+		if ((form[i] == '7' && digit != 7) || (form[i] == 'v' && (digit & 12) != 8))
+			return SNIPE_ERR_SYNTAX;
+		if (i < 13 && form[i] != '-')
+			ms = ms << 4 | digit;
+	}
+	*wall_ms = ms;
+	return 0;
+}
+
+void snipe_identifier_make(int64_t wall_ms, const uint8_t random[10], char out[40])
+{
+	uint8_t b[16];
+	char hex[33];
+
+	for (int i = 0; i < 6; i++)
+		b[i] = (uint8_t)(wall_ms >> (40 - 8 * i));
+	memcpy(b + 6, random, 10);
+	b[6] = (uint8_t)((b[6] & 0x0f) | 0x70);
+	b[8] = (uint8_t)((b[8] & 0x3f) | 0x80);
+	snipe_hex(b, sizeof(b), hex);
+	g_snprintf(out, 40, "%.8s-%.4s-%.4s-%.4s-%.12s", hex, hex + 8, hex + 12, hex + 16,
+		   hex + 20);
+}
+
+static size_t record_bytes(const struct snipe_dedup_record *r)
+{
+	return sizeof(*r) + strlen(r->key) + 1 + RECORD_OVERHEAD;
+}
+
+static gint compare_expiry(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct snipe_dedup_record *x = a, *y = b;
+
+	(void)data;
+	return (x->id_wall_ms > y->id_wall_ms) - (x->id_wall_ms < y->id_wall_ms);
+}
+
+static void drop_body(struct snipe_dedup *d, struct snipe_dedup_record *r)
+{
+	if (!r->body)
+		return;
+	g_queue_delete_link(&d->bodies, r->body);
+	r->body = NULL;
+	d->bytes -= r->answer_len;
+	g_free(r->answer);
+	r->answer = NULL;
+	r->answer_len = 0;
+}
+
+static void free_record(struct snipe_dedup *d, struct snipe_dedup_record *r)
+{
+	drop_body(d, r);
+	d->bytes -= record_bytes(r);
+	g_hash_table_remove(d->claims, &r->claim);
+	g_sequence_remove(r->expiry);
+	g_hash_table_remove(d->records, r->key);
+	g_free(r->key);
+	g_free(r);
+}
+
+void snipe_dedup_init(struct snipe_dedup *d, uint64_t first_claim)
+{
+	memset(d, 0, sizeof(*d));
+	d->records = g_hash_table_new(g_str_hash, g_str_equal);
+	d->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
+	d->expiry = g_sequence_new(NULL);
+	g_queue_init(&d->bodies);
+	d->next_claim = first_claim;
+	d->oldest_wall_ms = INT64_MIN;
+}
+
+void snipe_dedup_finish(struct snipe_dedup *d)
+{
+	while (!g_sequence_is_empty(d->expiry))
+		free_record(d, g_sequence_get(g_sequence_get_begin_iter(d->expiry)));
+	g_sequence_free(d->expiry);
+	g_hash_table_destroy(d->claims);
+	g_hash_table_destroy(d->records);
+}
+
+/* Evicts stored bodies, oldest first, until len more bytes fit. Returns nonzero on success. */
+static int make_room(struct snipe_dedup *d, size_t len)
+{
+	while (d->bytes + len > SNIPE_DEDUP_MAX_BYTES && !g_queue_is_empty(&d->bodies))
+		drop_body(d, g_queue_peek_head(&d->bodies));
+	return d->bytes + len <= SNIPE_DEDUP_MAX_BYTES;
+}
+
+static void grant(struct snipe_dedup *d, struct snipe_dedup_record *r, uint64_t fingerprint,
+		  struct snipe_claim_answer *answer)
+{
+	g_hash_table_remove(d->claims, &r->claim);
+	r->claim = d->next_claim++;
+	g_hash_table_insert(d->claims, &r->claim, r);
+	r->fingerprint = fingerprint;
+	r->state = RECORD_CLAIMED;
+	answer->verdict = SNIPE_CLAIM_GRANTED;
+	answer->claim = r->claim;
+}
+
+static enum snipe_claim_verdict time_verdict(struct snipe_dedup *d, int64_t wall_ms,
+					     int64_t owner_since_wall_ms, int64_t id_wall_ms)
+{
+	if (id_wall_ms > wall_ms + SNIPE_DEDUP_SKEW_MS)
+		return SNIPE_CLAIM_INVALID;
+	if (id_wall_ms < d->oldest_wall_ms)
+		return SNIPE_CLAIM_TOO_OLD;
+	if (owner_since_wall_ms && id_wall_ms <= owner_since_wall_ms + SNIPE_DEDUP_TAKEOVER_MS)
+		return SNIPE_CLAIM_OWNER_CHANGED;
+	return SNIPE_CLAIM_GRANTED;
+}
+
+/* Answers from the record of an earlier claim that was not released. */
+static void answer_record(const struct snipe_dedup_record *r, uint64_t fingerprint,
+			  struct snipe_claim_answer *answer)
+{
+	if (r->fingerprint != fingerprint) {
+		answer->verdict = SNIPE_CLAIM_INVALID;
+	} else if (r->state == RECORD_CLAIMED) {
+		answer->verdict = SNIPE_CLAIM_IN_PROGRESS;
+	} else if (r->state == RECORD_UNKNOWN) {
+		answer->verdict = SNIPE_CLAIM_UNKNOWN;
+	} else if (!r->body) {
+		answer->verdict = SNIPE_CLAIM_DONE_NO_ANSWER;
+	} else {
+		answer->verdict = SNIPE_CLAIM_DONE;
+		answer->answer = r->answer;
+		answer->answer_len = r->answer_len;
+	}
+}
+
+static struct snipe_dedup_record *add_record(struct snipe_dedup *d, char *key, int shard,
+					     int64_t id_wall_ms)
+{
+	struct snipe_dedup_record *r = g_new0(struct snipe_dedup_record, 1);
+
+	r->key = key;
+	r->shard = shard;
+	r->id_wall_ms = id_wall_ms;
+	r->expiry = g_sequence_insert_sorted(d->expiry, r, compare_expiry, NULL);
+	g_hash_table_insert(d->records, r->key, r);
+	d->bytes += record_bytes(r);
+	return r;
+}
+
+void snipe_dedup_claim(struct snipe_dedup *d, int64_t wall_ms, int64_t owner_since_wall_ms,
+		       const char *workspace, const char *identifier, uint64_t fingerprint,
+		       struct snipe_claim_answer *answer)
+{
+	struct snipe_dedup_record *r;
+	char *lower, *key;
+	int64_t id_wall_ms;
+
+	memset(answer, 0, sizeof(*answer));
+	answer->verdict = SNIPE_CLAIM_INVALID;
+	if (snipe_identifier_time(identifier, &id_wall_ms) < 0)
+		return;
+	snipe_dedup_tick(d, wall_ms);
+	lower = g_ascii_strdown(identifier, -1);
+	key = g_strconcat(workspace, "\n", lower, NULL);
+	r = g_hash_table_lookup(d->records, key);
+	if (r && r->state != RECORD_RELEASED) {
+		answer_record(r, fingerprint, answer);
+	} else {
+		answer->verdict = time_verdict(d, wall_ms, owner_since_wall_ms, id_wall_ms);
+		if (answer->verdict != SNIPE_CLAIM_GRANTED) {
+			/* nothing is stored */
+		} else if (r) {
+			grant(d, r, fingerprint, answer);
+		} else if (!make_room(d, sizeof(*r) + strlen(key) + 1 + RECORD_OVERHEAD)) {
+			answer->verdict = SNIPE_CLAIM_FULL;
+		} else {
+			r = add_record(d, g_strdup(key),
+				       snipe_shard_of_identifier(workspace, lower), id_wall_ms);
+			grant(d, r, fingerprint, answer);
+		}
+	}
+	g_free(key);
+	g_free(lower);
+}
+
+static struct snipe_dedup_record *find_claimed(struct snipe_dedup *d, uint64_t claim)
+{
+	struct snipe_dedup_record *r = g_hash_table_lookup(d->claims, &claim);
+
+	return r && r->state == RECORD_CLAIMED ? r : NULL;
+}
+
+void snipe_dedup_done(struct snipe_dedup *d, uint64_t claim, int known, const void *answer,
+		      size_t len)
+{
+	struct snipe_dedup_record *r = find_claimed(d, claim);
+
+	if (!r)
+		return;
+	r->state = known ? RECORD_DONE : RECORD_UNKNOWN;
+	if (!known || !answer || len > SNIPE_DEDUP_MAX_ANSWER || !make_room(d, len))
+		return;
+	r->answer = g_memdup2(answer, len);
+	r->answer_len = len;
+	d->bytes += len;
+	g_queue_push_tail(&d->bodies, r);
+	r->body = d->bodies.tail;
+}
+
+void snipe_dedup_release(struct snipe_dedup *d, uint64_t claim)
+{
+	struct snipe_dedup_record *r = find_claimed(d, claim);
+
+	if (r)
+		r->state = RECORD_RELEASED;
+}
+
+void snipe_dedup_tick(struct snipe_dedup *d, int64_t wall_ms)
+{
+	/* The limit only rises, so that a clock that steps back revives nothing. */
+	if (wall_ms - SNIPE_DEDUP_WINDOW_MS > d->oldest_wall_ms)
+		d->oldest_wall_ms = wall_ms - SNIPE_DEDUP_WINDOW_MS;
+	while (!g_sequence_is_empty(d->expiry)) {
+		struct snipe_dedup_record *r =
+			g_sequence_get(g_sequence_get_begin_iter(d->expiry));
+
+		if (r->id_wall_ms >= d->oldest_wall_ms)
+			break;
+		free_record(d, r);
+	}
+}
+
+void snipe_dedup_drop_shard(struct snipe_dedup *d, int shard)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(d->expiry);
+
+	while (!g_sequence_iter_is_end(it)) {
+		struct snipe_dedup_record *r = g_sequence_get(it);
+
+		it = g_sequence_iter_next(it);
+		if (r->shard == shard)
+			free_record(d, r);
+	}
+}
--- a/libs/core/dedup.h
+++ b/libs/core/dedup.h
@@ -49,12 +49,16 @@
 /* Fields are private. */
 struct snipe_dedup {
 	GHashTable *records; /* workspace and identifier -> record */
-	GQueue expiry;	     /* records by expiry */
+	GHashTable *claims;  /* claim -> record */
+	GSequence *expiry;   /* records by the time of their identifier */
+	GQueue bodies;	     /* records with a stored response, oldest first */
 	size_t bytes;
 	uint64_t next_claim;
+	int64_t oldest_wall_ms; /* identifiers before this are too old; never falls */
 };
 
-void snipe_dedup_init(struct snipe_dedup *d);
+/* first_claim is a random number, so that the end of another owner's claim finds none here. */
+void snipe_dedup_init(struct snipe_dedup *d, uint64_t first_claim);
 void snipe_dedup_finish(struct snipe_dedup *d);
 
 /*
--- a/libs/core/membership.h
+++ b/libs/core/membership.h
@@ -82,9 +82,12 @@
 	GRand *rng; /* not owned */
 	uint64_t next_sequence;
 	int64_t next_probe_us;
-	GPtrArray *probe_order;
+	int64_t next_dead_probe_us;
+	int64_t last_tick_us;
+	GPtrArray *probe_order; /* of entries that are not owned */
 	unsigned probe_index;
 	GArray *pending; /* outstanding probes, own and relayed */
+	int fresh;	 /* number of updates that were not sent yet */
 };
 
 void snipe_membership_init(struct snipe_membership *m, const struct snipe_member *self,
@@ -95,11 +98,17 @@
 void snipe_membership_tick(struct snipe_membership *m, int64_t now_us,
 			   struct snipe_membership_actions *actions);
 
+/* The last count updates of a probe that was to be sent did not fit into its datagram: they are
+ * sent again later. */
+void snipe_membership_unsent(struct snipe_membership *m, const struct snipe_probe *probe,
+			     int count);
+
 void snipe_membership_receive(struct snipe_membership *m, int64_t now_us,
 			      const struct snipe_probe *probe,
 			      struct snipe_membership_actions *actions);
 
-/* Takes a member list from a seed (message MEMBERS), or one update. */
+/* Takes one record of a member list from a seed (message MEMBERS). changed is set to 1 if the
+ * published list changed, and otherwise left alone. */
 void snipe_membership_merge(struct snipe_membership *m, int64_t now_us,
 			    const struct snipe_member *update, int *changed);
 
--- a/libs/core/ownership.h
+++ b/libs/core/ownership.h
@@ -56,11 +56,13 @@
 
 /*
  * Works out the next map: shards without a live owner of the recorded process go by rendezvous
- * hash to ready nodes; releasing lists this process's shards to be handed over because it
- * drains. Returns the number of shards that change; 0 means that no write is needed.
+ * hash to ready nodes. With releasing, only this process's own shards are handed over because
+ * it drains; those that it had already begun to act on are marked as released, the others still
+ * need the full wait for the owner before. Returns the number of shards that change; 0 means
+ * that no write is needed.
  */
 int snipe_ownership_plan(const struct snipe_ownership *o,
-			 const struct snipe_membership *members, int releasing,
+			 const struct snipe_membership *members, int releasing, int64_t now_us,
 			 struct snipe_shard next[SNIPE_SHARDS]);
 
 #ifdef __cplusplus
--- a/libs/core/quota.h
+++ b/libs/core/quota.h
@@ -21,7 +21,9 @@
 	uint64_t next_grant;
 };
 
-void snipe_quota_owner_init(struct snipe_quota_owner *q);
+/* first_grant is a random number, so that a return for another owner's grant finds none here.
+ */
+void snipe_quota_owner_init(struct snipe_quota_owner *q, uint64_t first_grant);
 void snipe_quota_owner_finish(struct snipe_quota_owner *q);
 
 /* Forgets the buckets of a shard. A bucket made later starts empty, at acts_from_us. */
@@ -46,6 +48,14 @@
 			     double rate, double burst, int64_t acts_from_us, int first_epoch,
 			     int want, int ahead, struct snipe_grant *grant);
 
+/*
+ * Returns nonzero if fewer than want tokens are there while other nodes hold ahead tokens that
+ * they may return: the owner then answers an ask a little later instead of refusing calls that
+ * are within the rate. Nodes return unused ahead tokens after about 150 ms.
+ */
+int snipe_quota_owner_should_wait(struct snipe_quota_owner *q, int64_t now_us,
+				  const char *workspace, int want);
+
 /* Takes unused tokens back, once for each grant and never more than it held. */
 void snipe_quota_owner_return(struct snipe_quota_owner *q, int64_t now_us, uint64_t grant_id,
 			      int tokens);
@@ -77,9 +87,10 @@
 						int64_t *retry_after_us);
 
 /*
- * A grant came for a request that was sent at sent_us, or the request failed (tokens 0,
- * failed nonzero). *serve receives how many waiting calls get a token now, oldest first; *want
- * as above if calls still wait. The rest of the waiting calls is refused if refuse is set.
+ * A grant came for a request that was sent at sent_us (the now_us of the call that asked for
+ * it, or later), or the request failed (tokens 0, failed nonzero). *serve receives how many
+ * waiting calls get a token now, oldest first; *want as above if calls still wait. The rest of
+ * the waiting calls is refused if refuse is set.
  */
 void snipe_quota_cache_grant(struct snipe_quota_cache *q, int64_t now_us, const char *workspace,
 			     int64_t sent_us, const struct snipe_grant *grant, int failed,
@@ -89,8 +100,10 @@
 void snipe_quota_cache_abandon(struct snipe_quota_cache *q, const char *workspace);
 
 /*
- * Finds one grant whose unused tokens go back to the owner: they are dropped here first.
- * Returns 1 and fills workspace (valid until the next call), id and tokens; 0 if there is none.
+ * Finds one grant whose unused tokens go back to the owner: they are dropped here first. tokens
+ * is 0 for a grant that is used up, which the owner then stops counting against the burst. Call
+ * in a loop, every 50 ms or sooner. Returns 1 and fills workspace (valid until the next call),
+ * id and tokens; 0 if there is none.
  */
 int snipe_quota_cache_next_return(struct snipe_quota_cache *q, int64_t now_us,
 				  const char **workspace, uint64_t *grant_id, int *tokens);
--- a/libs/wire/datagram.c
+++ b/libs/wire/datagram.c
@@ -13,6 +13,8 @@
 	for (int i = 0; i < SNIPE_OBJECT_COUNT; i++)
 		msgpack_pack_uint64(pk, g->versions[i]);
 	msgpack_pack_int64(pk, g->age_us == INT64_MAX ? -1 : g->age_us);
+	msgpack_pack_uint64(pk, g->echo);
+	msgpack_pack_int64(pk, g->held_us);
 }
 
 static void read_digest(struct snipe_reader *r, struct snipe_digest *g)
@@ -22,6 +24,8 @@
 	g->age_us = snipe_read_int(r);
 	if (g->age_us < 0)
 		g->age_us = INT64_MAX;
+	g->echo = snipe_read_uint(r);
+	g->held_us = snipe_read_int(r);
 }
 
 static void pack_probe(msgpack_packer *pk, const struct snipe_probe *p, int updates)
@@ -67,7 +71,7 @@
 	msgpack_pack_array(&pk,
 			   4 + (d->type == SNIPE_DATAGRAM_PROBE	   ? 6
 				: d->type == SNIPE_DATAGRAM_STRIKE ? 1
-								   : SNIPE_OBJECT_COUNT + 1));
+								   : SNIPE_OBJECT_COUNT + 3));
 	msgpack_pack_int(&pk, SNIPE_PROTOCOL_VERSION);
 	msgpack_pack_int(&pk, d->type);
 	snipe_pack_str(&pk, d->from_id);
--- a/tests/wire/datagram_test.cc
+++ b/tests/wire/datagram_test.cc
@@ -65,10 +65,14 @@
 	strcpy(in.from_id, "n");
 	in.u.digest.versions[SNIPE_OBJECT_KEYS] = 9;
 	in.u.digest.age_us = INT64_MAX;
+	in.u.digest.echo = UINT64_MAX;
+	in.u.digest.held_us = 300;
 	snipe_buffer_init(&buf);
 	snipe_datagram_encode(&in, "secret", &buf);
 	ASSERT_EQ(snipe_datagram_decode(buf.data, buf.len, "secret", &out), 0);
 	EXPECT_EQ(out.u.digest.versions[SNIPE_OBJECT_KEYS], 9u);
 	EXPECT_EQ(out.u.digest.age_us, INT64_MAX);
+	EXPECT_EQ(out.u.digest.echo, UINT64_MAX);
+	EXPECT_EQ(out.u.digest.held_us, 300);
 	snipe_buffer_finish(&buf);
 }
