--- a/libs/node/admin_task.h
+++ b/libs/node/admin_task.h
@@ -5,7 +5,8 @@
  *   GET  /metrics  counters in the Prometheus text format
  *   POST /drain    starts a graceful stop
  *   PUT  /object/tables, /object/keys   hands over a newer object right after a write, with the
- *                  header Snipe-Version; the body is authenticated by Snipe-Mac (fleet secret)
+ *                  header Snipe-Version; name, version and body are authenticated by Snipe-Mac,
+ *                  hexadecimal digits of snipe_admin_object_mac
  */
 #ifndef SNIPE_ADMIN_TASK_H
 #define SNIPE_ADMIN_TASK_H
@@ -13,6 +14,7 @@
 #include "base/address.h"
 #include "base/buffer.h"
 #include "base/error.h"
+#include "base/hash.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -21,6 +23,11 @@
 struct event_base;
 struct evhttp;
 
+/* Code of an object that is handed over; name is "tables" or "keys". It covers the version, so
+ * that an older value cannot be sent again under a newer version. */
+void snipe_admin_object_mac(const char *secret, const char *name, uint64_t version,
+			    const char *value, size_t len, uint8_t mac[SNIPE_MAC_SIZE]);
+
 /* What the node provides to the admin task. */
 struct snipe_admin_ops {
 	void (*dump)(void *arg, struct snipe_buffer *out);
--- a/libs/node/caller_task.h
+++ b/libs/node/caller_task.h
@@ -36,6 +36,10 @@
 /* Set after the control task was made; messages QUOTA_ASK, CLAIM_* go there. */
 void snipe_caller_task_set_control(struct snipe_caller_task *t, struct snipe_mailbox *control);
 
+/* The addresses that the listeners for callers and for the backend server got. */
+const struct snipe_address *snipe_caller_task_address(const struct snipe_caller_task *t);
+const struct snipe_address *snipe_caller_task_local_address(const struct snipe_caller_task *t);
+
 /* Number of requests that were not answered yet. */
 int snipe_caller_task_in_flight(const struct snipe_caller_task *t);
 
