--- a/libs/node/caller_request.c
+++ b/libs/node/caller_request.c
@@ -47,7 +47,7 @@
 
 	if (!call->snapshot || !call->snapshot->tables)
 		return SNIPE_REASON_NO_CONFIG;
-	if (!method || snipe_http_match_path(call->uri, path, sizeof(path)))
+	if (!method || snipe_http_path(call->uri, path, sizeof(path)))
 		return SNIPE_REASON_BAD_REQUEST;
 	tables = &call->snapshot->tables->tables;
 	i = snipe_tables_match(tables, method, path);
--- a/libs/node/caller_task.c
+++ b/libs/node/caller_task.c
@@ -171,7 +171,7 @@
 struct snipe_caller_task *snipe_caller_task_new(const struct snipe_caller_config *config,
 						struct snipe_error_text *err)
 {
-	static const struct timeval tick = {0, 100000};
+	static const struct timeval tick = {0, 50000};
 	struct snipe_caller_task *t = g_new0(struct snipe_caller_task, 1);
 
 	t->base = config->base;
--- a/libs/node/http_text.c
+++ b/libs/node/http_text.c
@@ -158,7 +158,7 @@
 	for (;;) {
 		size_t len = strcspn(s, "/");
 
-		if (is_dot_segment(s, len) || (len == 0 && s[0] == '/'))
+		if (is_dot_segment(s, len))
 			return SNIPE_ERR_INVALID;
 		if (s[len] == '\0')
 			return 0;
@@ -166,11 +166,12 @@
 	}
 }
 
-int snipe_http_match_path(const char *uri, char *out, size_t size)
+/* Decodes percent encoding in place. */
+static int decode_path(char *path)
 {
-	size_t n = 0;
+	char *out = path;
 
-	for (const char *p = uri; *p && *p != '?' && *p != '#'; p++) {
+	for (const char *p = path; *p; p++) {
 		int c = (unsigned char)*p;
 
 		if (c == '%') {
@@ -182,10 +183,28 @@
 			c = hi << 4 | lo;
 			p += 2;
 		}
-		if (c < 0x20 || c == 0x7f || c == '\\' || n + 1 >= size)
+		if (c < 0x20 || c == 0x7f || c == '\\')
 			return SNIPE_ERR_INVALID;
-		out[n++] = (char)c;
+		*out++ = (char)c;
 	}
-	out[n] = '\0';
-	return check_segments(out);
+	*out = '\0';
+	return 0;
+}
+
+int snipe_http_path(const char *uri, char *out, size_t size)
+{
+	size_t len = strcspn(uri, "?");
+	char *plain;
+	int ret;
+
+	if (len >= size || strchr(uri, '#'))
+		return SNIPE_ERR_INVALID;
+	memcpy(out, uri, len);
+	out[len] = '\0';
+	plain = g_strdup(out);
+	ret = decode_path(plain);
+	if (ret == 0)
+		ret = check_segments(plain);
+	g_free(plain);
+	return ret;
 }
--- a/libs/node/http_text.h
+++ b/libs/node/http_text.h
@@ -56,12 +56,13 @@
 			    int count);
 
 /*
- * Writes the path of a URI in the form that routes are matched with: percent decoded, without
- * query. Returns 0, or SNIPE_ERR_INVALID for a path that servers may read in several ways:
- * not starting with "/", with dot segments, empty segments, backslashes or control characters,
- * or longer than size. It would otherwise reach another route's resource.
+ * Copies the path of a URI, without query, for snipe_tables_match. Returns 0, or
+ * SNIPE_ERR_INVALID for a path that servers may read in several ways and that could so reach
+ * another route's resource: not starting with "/", with dot segments, backslashes or control
+ * characters (plain or percent encoded), with a broken escape or a fragment, or not shorter
+ * than size.
  */
-int snipe_http_match_path(const char *uri, char *out, size_t size);
+int snipe_http_path(const char *uri, char *out, size_t size);
 
 #ifdef __cplusplus
 }
