--- a/libs/core/limiter.h
+++ b/libs/core/limiter.h
@@ -2,7 +2,8 @@
  * Adaptive limit of the calls that run on one backend server at a time.
  *
  * The limit follows measured behaviour (latency against calls in flight), since the health and
- * load endpoints of backend servers lag or mislead.
+ * load endpoints of backend servers lag or mislead. docs/decisions/adaptive-limit.md states the
+ * reasons for the rules.
  */
 #ifndef SNIPE_LIMITER_H
 #define SNIPE_LIMITER_H
@@ -29,13 +30,42 @@
 /* Fields are private. */
 struct snipe_limiter {
 	enum snipe_limiter_policy policy;
+	int slots;
+	int fixed_limit;
 	double limit;
-	int ceiling;
-	double latency_us;     /* short-term average */
-	double min_latency_us; /* long-term minimum */
-	double window_min_us;  /* minimum of the running window */
-	int64_t window_start_us;
-	int64_t last_decrease_us;
+	double run_limit;      /* limit before the present run of decreases */
+	double mean_us;	       /* mean latency of the last period; 0: none yet */
+	double latency_us;     /* the same without outliers */
+	int settle;	       /* samples to be left out before the next period */
+	double min_latency_us; /* long-term minimum of the period means; 0: none yet */
+
+	/* Samples since the last decision. */
+	struct {
+		int64_t start_us;
+		double sum_us;
+		double bounded_sum_us;
+		int count;
+		int congestion_count; /* timeouts and refusals by the server */
+		int shed_count;
+		int max_in_flight;
+	} period;
+
+	/* Measurement of the latency at a quarter of the limit. */
+	struct {
+		enum {
+			SNIPE_LIMITER_NOT_PROBING,
+			SNIPE_LIMITER_DRAINING, /* until few enough calls are in flight */
+			SNIPE_LIMITER_MEASURING,
+		} phase;
+		double resume_limit;
+		double before_us; /* latency before the probe */
+		int64_t start_us;
+		int64_t in_flight_sum;
+		int count;
+		int64_t give_up_us;
+		int64_t next_us;     /* next regular probe */
+		int64_t earliest_us; /* earliest probe on suspicion */
+	} probe;
 };
 
 /* slots is the pool's upper bound. Starts cold, at a quarter of slots. */
@@ -48,10 +78,13 @@
 /* Forgets what was learned: the backend server restarted and is cold. */
 void snipe_limiter_reset(struct snipe_limiter *l, int64_t now_us);
 
-/* Returns the number of calls that may run now, at least 1. */
+/* Returns the number of calls that may run now, at least 1; INT_MAX without a limit. */
 int snipe_limiter_limit(const struct snipe_limiter *l);
 
-/* Records a finished call. in_flight counts the running calls including this one. */
+/*
+ * Records a finished call. in_flight counts the running calls including this one. A timeout
+ * that came sooner than a call normally takes says nothing about load and is ignored.
+ */
 void snipe_limiter_record(struct snipe_limiter *l, int64_t now_us, int64_t latency_us,
 			  int in_flight, enum snipe_limiter_sample sample);
 
