--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -68,7 +68,8 @@
 struct switches {
 	double service_ms, spread, slow_factor, overload_slope, cold_factor;
 	int cold_start_ms, size, shed_queue, load_lag_ms, false_load;
-	int silent, drop_context, fail_status, draining, announce;
+	int drop_context, fail_status, draining, announce;
+	int announce_port; /* 0: the service port; set when a relay stands before it */
 	char *crash_mark, *truncate;
 	json_t *plan; /* for requests without Fake-Plan */
 };
@@ -591,6 +592,7 @@
 	fake_json_int(doc, "load_lag_ms", &sw->load_lag_ms);
 	fake_json_int(doc, "false_load", &sw->false_load);
 	fake_json_int(doc, "fail_status", &sw->fail_status);
+	fake_json_int(doc, "announce_port", &sw->announce_port);
 	fake_json_bool(doc, "drop_context", &sw->drop_context);
 	fake_json_bool(doc, "draining", &sw->draining);
 	fake_json_bool(doc, "announce", &sw->announce);
@@ -680,7 +682,7 @@
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", "node");
 	evbuffer_add_printf(evhttp_request_get_output_buffer(req),
 			    "{\"pool\":\"%s\",\"address\":\"127.0.0.1:%d\",\"state\":\"%s\"}",
-			    g.pool, g.port,
+			    g.pool, g.sw.announce_port ? g.sw.announce_port : g.port,
 			    g.sw.draining ? "draining"
 			    : cold	  ? "starting"
 					  : "ready");
@@ -703,7 +705,7 @@
 
 static void parse_options(int argc, char **argv)
 {
-	int seed = 1, orphan = 0;
+	int seed = 1, orphan = 0, no_announce = 0;
 	const GOptionEntry entries[] = {
 		{"port", 0, 0, G_OPTION_ARG_INT, &g.port, "Service port", "N"},
 		{"control-port", 0, 0, G_OPTION_ARG_INT, &g.control_port, "Control port", "N"},
@@ -726,6 +728,8 @@
 		{"run-log", 0, 0, G_OPTION_ARG_FILENAME, &g.run_log, "Run log", "FILE"},
 		{"byte-log", 0, 0, G_OPTION_ARG_FILENAME, &g.byte_log, "Byte log", "FILE"},
 		{"no-record", 0, 0, G_OPTION_ARG_NONE, &g.no_record, "Record nothing", NULL},
+		{"no-announce", 0, 0, G_OPTION_ARG_NONE, &no_announce,
+		 "Announce only after PUT /control says so", NULL},
 		{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of service times", "N"},
 		{"orphan", 0, 0, G_OPTION_ARG_NONE, &orphan, "Outlive the parent", NULL},
 		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
@@ -744,6 +748,7 @@
 		fprintf(stderr, "--node must be IP:PORT\n");
 		exit(2);
 	}
+	g.sw.announce = !no_announce;
 	g.rng = g_rand_new_with_seed((guint32)seed);
 	if (!orphan)
 		fake_die_with_parent();
