--- a/tests/fakes/tcp_relay.c
+++ b/tests/fakes/tcp_relay.c
@@ -13,6 +13,9 @@
  *   "delay_ms": N       each piece of data is passed on N ms later
  *   "drop_replies": true  what the target sends is dropped and the connection closed, so that
  *                       requests take effect and their responses are lost
+ *   "lose_requests": "PREFIX"  data from the caller that begins with PREFIX is dropped and the
+ *                       connection closed; "" turns it off
+ *   "lose_replies": "PREFIX"   the same for what the target sends after such data
  *   "target": "IP:PORT" for connections opened from now on
  * GET /state returns the number of connections made and open, and bytes passed each way.
  */
@@ -35,6 +38,7 @@
 	struct event *timer[2];
 	struct evbuffer *held[2]; /* read from side i, to be written to the other */
 	int silent;
+	int lose_reply; /* the last data from the caller began with lose_replies */
 };
 
 static struct {
@@ -44,6 +48,7 @@
 	int target_len, refuse, delay_ms, silent_new, drop_replies;
 	int made, open;
 	int64_t bytes[2];
+	char lose_requests[32], lose_replies[32];
 } g;
 
 static void close_pair(struct pair *p)
@@ -86,6 +91,16 @@
 	pass_on(arg, 1);
 }
 
+static int begins_with(struct bufferevent *bev, const char *prefix)
+{
+	size_t len = strlen(prefix);
+	char start[sizeof(g.lose_requests)];
+
+	return len > 0 &&
+	       evbuffer_copyout(bufferevent_get_input(bev), start, len) == (ev_ssize_t)len &&
+	       memcmp(start, prefix, len) == 0;
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct pair *p = arg;
@@ -95,7 +110,10 @@
 
 	if (p->silent)
 		return;
-	if (from == 1 && g.drop_replies) {
+	if (from == 0)
+		p->lose_reply = begins_with(bev, g.lose_replies);
+	if ((from == 0 && begins_with(bev, g.lose_requests)) ||
+	    (from == 1 && (g.drop_replies || p->lose_reply))) {
 		close_pair(p);
 		return;
 	}
@@ -187,6 +205,14 @@
 	return 0;
 }
 
+static void set_prefix(const json_t *doc, const char *name, char out[32])
+{
+	const char *s = json_string_value(json_object_get(doc, name));
+
+	if (s)
+		snprintf(out, 32, "%s", s);
+}
+
 static void apply_control(const json_t *doc)
 {
 	const char *target = json_string_value(json_object_get(doc, "target"));
@@ -198,6 +224,8 @@
 	fake_json_bool(doc, "refuse", &g.refuse);
 	fake_json_bool(doc, "drop_replies", &g.drop_replies);
 	fake_json_int(doc, "delay_ms", &g.delay_ms);
+	set_prefix(doc, "lose_requests", g.lose_requests);
+	set_prefix(doc, "lose_replies", g.lose_replies);
 	if (target)
 		set_target(target);
 	while (cut && g.pairs.next != &g.pairs)
--- a/tests/process/stand_ins_test.cc
+++ b/tests/process/stand_ins_test.cc
@@ -175,7 +175,14 @@
 	put("{\"drop_replies\":true}");
 	EXPECT_FALSE(Fetch(port, "GET", "/x", {{"Fake-Request-Id", "took-effect"}}).complete);
 	EXPECT_EQ(Count(ReadFile(b.runs), "\"event\":\"start\",\"id\":\"took-effect\""), 1u);
-	put("{\"drop_replies\":false,\"delay_ms\":50}");
+	put("{\"drop_replies\":false,\"lose_replies\":\"POST \"}");
+	EXPECT_EQ(Fetch(port, "GET", "/x").status, 200);
+	EXPECT_FALSE(Fetch(port, "POST", "/x", {{"Fake-Request-Id", "reply-lost"}}).complete);
+	EXPECT_EQ(Count(ReadFile(b.runs), "\"event\":\"start\",\"id\":\"reply-lost\""), 1u);
+	put("{\"lose_replies\":\"\",\"lose_requests\":\"POST \"}");
+	EXPECT_FALSE(Fetch(port, "POST", "/x", {{"Fake-Request-Id", "never-came"}}).complete);
+	EXPECT_EQ(Count(ReadFile(b.runs), "never-came"), 0u);
+	put("{\"lose_requests\":\"\",\"delay_ms\":50}");
 	EXPECT_EQ(Fetch(port, "GET", "/x").status, 200);
 	put("{\"refuse\":true}");
 	EXPECT_FALSE(Fetch(port, "GET", "/x").complete);
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <jansson.h>
 #include <signal.h>
+#include <time.h>
 
 #include <algorithm>
 #include <atomic>
@@ -127,7 +128,7 @@
 
 std::string NewIdentifier()
 {
-	static std::mt19937_64 rng{std::random_device{}()};
+	thread_local std::mt19937_64 rng{std::random_device{}()};
 	auto ms = static_cast<unsigned long long>(
 		std::chrono::duration_cast<std::chrono::milliseconds>(
 			std::chrono::system_clock::now().time_since_epoch())
@@ -140,6 +141,77 @@
 	return out;
 }
 
+long long NowUs()
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return ts.tv_sec * 1000000LL + ts.tv_nsec / 1000;
+}
+
+Key StartStandardFleet(Fleet &fleet, const NodeSpec &pattern)
+{
+	const char *names[] = {"front-a", "front-b", "deep-a", "deep-b"};
+	Key key;
+
+	for (int i = 0; i < 4; i++) {
+		NodeSpec spec = pattern;
+
+		spec.id = names[i];
+		spec.failure_domain = i % 2 ? "fd-b" : "fd-a";
+		spec.pool = i < 2 ? "front" : "deep";
+		fleet.AddNode(spec);
+	}
+	RunResult applied = fleet.ApplyTables(kRoutes, kPools);
+	if (applied.status != 0)
+		throw std::runtime_error("snipescale apply failed: " + applied.err);
+	key = fleet.IssueKey("alpha");
+	if (!fleet.WaitServing("/front/start", key.key) ||
+	    !fleet.WaitServing("/deep/start", key.key) || !fleet.WaitMembers(4))
+		throw std::runtime_error("the fleet does not serve requests");
+	return key;
+}
+
+Crowd::Crowd(int callers, std::function<Response(int n, const std::string &id)> next)
+{
+	for (int n = 0; n < callers; n++)
+		threads_.emplace_back([this, n, next] {
+			while (!stop_) {
+				std::string id = NewId();
+				long long sent_us = NowUs();
+				Response r = next(n, id);
+				std::lock_guard<std::mutex> lock(mutex_);
+
+				succeeded_ += r.status == 200;
+				ended_++;
+				sent_.push_back({id, sent_us, std::move(r)});
+			}
+		});
+}
+
+Crowd::~Crowd()
+{
+	Stop();
+}
+
+std::vector<Sent> Crowd::Stop()
+{
+	stop_ = true;
+	for (auto &t : threads_)
+		if (t.joinable())
+			t.join();
+	return sent_;
+}
+
+bool Crowd::WaitMore(int count)
+{
+	int goal = succeeded_ + count;
+
+	return WaitFor([&] { return succeeded_ >= goal; });
+}
+
+static const char kSecret[] = "a secret of the test fleet";
+
 static int PortOf(const std::map<std::string, std::string> &pairs, const std::string &name)
 {
 	auto it = pairs.find(name);
@@ -215,8 +287,8 @@
 
 	node.process.reset();
 	toml << "[node]\nid = \"" << node.spec.id << "\"\nregion = \"" << node.spec.region
-	     << "\"\nfailure_domain = \"" << node.spec.failure_domain
-	     << "\"\nfleet_secret = \"a secret of the test fleet\"\nlog_level = \"info\"\n"
+	     << "\"\nfailure_domain = \"" << node.spec.failure_domain << "\"\nfleet_secret = \""
+	     << kSecret << "\"\nlog_level = \"info\"\n"
 	     << "[listen]\ncallers = \"" << Loopback(node.caller_port) << "\"\nlocal = \""
 	     << Loopback(node.local_port) << "\"\npeers = \"" << Loopback(node.peer_port)
 	     << "\"\nadmin = \"" << Loopback(node.admin_port) << "\"\n[platform]\naddress = \""
@@ -288,12 +360,21 @@
 	return node;
 }
 
-RunResult Fleet::Operator(const std::vector<std::string> &args)
+std::unique_ptr<Process> Fleet::StartOperator(const std::vector<std::string> &args)
 {
 	std::vector<std::string> argv = {"snipescale"};
 
 	argv.insert(argv.end(), args.begin(), args.end());
-	return Run(argv, File("operator" + std::to_string(++operator_runs_)));
+	return std::make_unique<Process>(argv,
+					 File("operator" + std::to_string(++operator_runs_)));
+}
+
+RunResult Fleet::Operator(const std::vector<std::string> &args)
+{
+	auto p = StartOperator(args);
+	int status = p->Wait();
+
+	return {status, p->Output(), p->Errors()};
 }
 
 std::vector<std::string> Fleet::ApplyArgs(const std::string &routes, const std::string &pools)
@@ -316,6 +397,15 @@
 	return Operator(ApplyArgs(routes, pools));
 }
 
+std::string Fleet::TablesVersion()
+{
+	Response r = Fetch(platform_port_, "GET", "/v1/objects/config/tables");
+	std::string tag = r.Header("etag");
+
+	tag.erase(std::remove(tag.begin(), tag.end(), '"'), tag.end());
+	return tag;
+}
+
 Key Fleet::IssueKey(const std::string &workspace)
 {
 	RunResult r = Operator({"key", "issue", "--platform", Loopback(platform_port_),
@@ -332,10 +422,20 @@
 	return key;
 }
 
+std::vector<std::string> Fleet::WithdrawArgs(const std::string &id)
+{
+	return {"key", "withdraw", "--platform", Loopback(platform_port_), "--id", id};
+}
+
 RunResult Fleet::WithdrawKey(const std::string &id)
 {
-	return Operator(
-		{"key", "withdraw", "--platform", Loopback(platform_port_), "--id", id});
+	return Operator(WithdrawArgs(id));
+}
+
+std::string Fleet::SecretFile()
+{
+	WriteFile(File("secret"), kSecret);
+	return File("secret");
 }
 
 bool Fleet::WaitServing(const std::string &path, const std::string &key)
@@ -426,6 +526,16 @@
 	return count;
 }
 
+std::map<std::string, int> Fleet::StartedById() const
+{
+	std::map<std::string, int> counts;
+
+	for (const auto &r : Runs())
+		if (r.event == "start")
+			counts[r.id]++;
+	return counts;
+}
+
 std::string Fleet::Bytes() const
 {
 	std::string bytes;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -8,8 +8,12 @@
 #ifndef SNIPE_TEST_FLEET_H
 #define SNIPE_TEST_FLEET_H
 
+#include <atomic>
+#include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/http.h"
@@ -78,10 +82,16 @@
 
 	/* The operators' program. */
 	RunResult Operator(const std::vector<std::string> &args);
+	std::unique_ptr<Process> StartOperator(const std::vector<std::string> &args);
 	RunResult ApplyTables(const std::string &routes, const std::string &pools);
 	std::vector<std::string> ApplyArgs(const std::string &routes, const std::string &pools);
+	/* Version of config/tables at the platform. */
+	std::string TablesVersion();
 	Key IssueKey(const std::string &workspace);
 	RunResult WithdrawKey(const std::string &id);
+	std::vector<std::string> WithdrawArgs(const std::string &id);
+	/* A file that holds the fleet secret. */
+	std::string SecretFile();
 
 	/* Waits until every node answers GET path with 200 for this key. */
 	bool WaitServing(const std::string &path, const std::string &key);
@@ -97,6 +107,8 @@
 	std::vector<RunRecord> Runs() const;
 	/* Number of runs started with this request id. */
 	int Started(const std::string &id) const;
+	/* Number of runs started by request id. */
+	std::map<std::string, int> StartedById() const;
 	std::string Bytes() const;
 	/* Everything that nodes printed, and their dumps and counters. */
 	std::string NodeOutput() const;
@@ -123,11 +135,59 @@
 	std::vector<std::unique_ptr<Node>> nodes_;
 };
 
+/*
+ * Starts two nodes of pool front (indexes 0, 1) and two of pool deep (2, 3) in two failure
+ * domains, applies kRoutes and kPools, issues a key for workspace alpha and waits until every
+ * node serves both pools. Throws if that does not happen.
+ */
+Key StartStandardFleet(Fleet &fleet, const NodeSpec &pattern = {});
+
 /* A request id that no other request of this test program has. */
 std::string NewId();
 /* A new UUID version 7 as callers make it. */
 std::string NewIdentifier();
 
+/* A request of a Crowd, and what its caller received. */
+struct Sent {
+	std::string id;
+	long long sent_us = 0; /* CLOCK_BOOTTIME before the first byte, as in RunRecord */
+	Response response;
+};
+
+/* CLOCK_BOOTTIME in microseconds. */
+long long NowUs();
+
+/*
+ * Callers in threads, each with one request at a time, until it is stopped. next makes and
+ * sends one request of the given id, from caller number n.
+ */
+class Crowd
+{
+      public:
+	Crowd(int callers, std::function<Response(int n, const std::string &id)> next);
+	~Crowd();
+	/* Stops after the requests in flight and returns all of them. */
+	std::vector<Sent> Stop();
+	/* Number of requests that ended, and of those with status 200. */
+	int ended() const
+	{
+		return ended_;
+	}
+	int succeeded() const
+	{
+		return succeeded_;
+	}
+	/* Waits for this many more successful requests. */
+	bool WaitMore(int count);
+
+      private:
+	std::atomic<bool> stop_{false};
+	std::atomic<int> ended_{0}, succeeded_{0};
+	std::mutex mutex_;
+	std::vector<Sent> sent_;
+	std::vector<std::thread> threads_;
+};
+
 /* Tables that most process tests use: see fleet.cc. */
 extern const char kRoutes[], kPools[];
 
