Check the control state again before a call is sent

A call may wait for a claim, a token or a backoff, or the node may be paused in between; the check at the entry alone would let it run with a key that was withdrawn meanwhile. Methods that routes can't name are rejected with the node's own headers.

--- a/libs/node/caller_attempt.c
+++ b/libs/node/caller_attempt.c
@@ -119,6 +119,11 @@
 		snipe_call_reject(call, SNIPE_REASON_EXPIRED);
 		return;
 	}
+	/* The call may have waited, or the node may have been paused since it was checked. */
+	if (!call->route->open && now >= t->valid_until_us) {
+		snipe_call_reject(call, SNIPE_REASON_CONFIG_UNCONFIRMED);
+		return;
+	}
 	msg.type = SNIPE_MSG_CALL;
 	memset(&msg.u.call, 0, offsetof(struct snipe_msg_call, headers));
 	fill_message(call, &msg.u.call, now);
--- a/libs/node/caller_state.h
+++ b/libs/node/caller_state.h
@@ -127,7 +127,8 @@
 	int in_flight;
 	uint64_t next_id;
 	struct snipe_rejection_log rejections;
-	struct snipe_histogram latency;
+	struct snipe_histogram latency; /* of complete client requests in this window, us */
+	int64_t latency_since_us;
 	int count_calls, count_inner, count_complete, count_retries, count_replays;
 	int gauge_p50, gauge_p99, gauge_in_flight;
 };
--- a/libs/node/caller_task.c
+++ b/libs/node/caller_task.c
@@ -14,6 +14,8 @@
 #include "node/http_text.h"
 
 #define ANNOUNCE_PATH "/.snipescale/backend-server"
+/* The latency gauges cover the last window. */
+#define LATENCY_WINDOW_US 5000000
 #define IDENTIFIER_PATH "/.snipescale/identifier"
 
 static int is_path(const char *uri, const char *path)
@@ -119,18 +121,27 @@
 	}
 }
 
+static void publish_latency(struct snipe_caller_task *t, int64_t now)
+{
+	snipe_counters_set(t->counters, t->gauge_p50,
+			   (int64_t)snipe_histogram_quantile(&t->latency, 0.5));
+	snipe_counters_set(t->counters, t->gauge_p99,
+			   (int64_t)snipe_histogram_quantile(&t->latency, 0.99));
+	snipe_histogram_init(&t->latency);
+	t->latency_since_us = now;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct snipe_caller_task *t = arg;
+	int64_t now = snipe_now_us();
 
 	(void)fd;
 	(void)what;
 	snipe_caller_return_tokens(t);
 	snipe_counters_set(t->counters, t->gauge_in_flight, t->in_flight);
-	snipe_counters_set(t->counters, t->gauge_p50,
-			   (int64_t)snipe_histogram_quantile(&t->latency, 0.5));
-	snipe_counters_set(t->counters, t->gauge_p99,
-			   (int64_t)snipe_histogram_quantile(&t->latency, 0.99));
+	if (now - t->latency_since_us >= LATENCY_WINDOW_US)
+		publish_latency(t, now);
 }
 
 static void init_counters(struct snipe_caller_task *t)
--- a/libs/node/http_listen.c
+++ b/libs/node/http_listen.c
@@ -6,6 +6,7 @@
 
 #include "node/http_text.h"
 
+#define ALL_METHODS 0xffff
 /* Idle connections of callers are closed after this time. */
 #define IDLE_TIMEOUT_S 120
 
@@ -37,7 +38,8 @@
 		return NULL;
 	}
 	read_address(bound, got);
-	evhttp_set_allowed_methods(http, (ev_uint16_t)snipe_http_methods());
+	/* Others than those of routes are rejected by cb, with the node's own headers. */
+	evhttp_set_allowed_methods(http, ALL_METHODS);
 	evhttp_set_max_headers_size(http, SNIPE_HTTP_HEADER_LIMIT);
 	evhttp_set_max_body_size(http, SNIPE_HTTP_BODY_LIMIT);
 	evhttp_set_default_content_type(http, NULL);
--- a/libs/node/http_text.c
+++ b/libs/node/http_text.c
@@ -25,15 +25,6 @@
 	"Expect",
 };
 
-unsigned snipe_http_methods(void)
-{
-	unsigned mask = 0;
-
-	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++)
-		mask |= methods[i].command;
-	return mask;
-}
-
 const char *snipe_http_method_name(unsigned command)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
--- a/libs/node/http_text.h
+++ b/libs/node/http_text.h
@@ -21,9 +21,8 @@
 #define SNIPE_HTTP_HEADER_LIMIT (64 * 1024)
 #define SNIPE_HTTP_BODY_LIMIT (SNIPE_MAX_BODY + 1024 * 1024)
 
-/* Methods that routes may name, as a mask of enum evhttp_cmd_type. */
-unsigned snipe_http_methods(void);
-/* Return NULL or SNIPE_ERR_NOT_FOUND for other methods. */
+/* Methods that routes may name, as enum evhttp_cmd_type. Return NULL or SNIPE_ERR_NOT_FOUND for
+ * others. */
 const char *snipe_http_method_name(unsigned command);
 int snipe_http_method_command(const char *name);
 
--- a/libs/node/node.c
+++ b/libs/node/node.c
@@ -240,13 +240,40 @@
 	event_free(n->sigterm);
 }
 
+/*
+ * Changes of watched events are passed to epoll once for each turn of the loop: evhttp turns
+ * reading off and on for each request, which otherwise costs four system calls.
+ */
+static struct event_base *new_base(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
+/* Keeps the log to one key=value line for each event. */
+static void log_libevent(int severity, const char *msg)
+{
+	char text[256];
+
+	g_strlcpy(text, msg, sizeof(text));
+	g_strdelimit(text, "\"\r\n", '\'');
+	snipe_log(severity >= EVENT_LOG_ERR ? SNIPE_LOG_ERROR : SNIPE_LOG_WARNING, "libevent",
+		  "msg=\"%s\"", text);
+}
+
 int snipe_node_run(const struct snipe_settings *settings, struct snipe_error_text *err)
 {
 	struct node *n = g_new0(struct node, 1);
 	int ret;
 
 	n->settings = settings;
-	n->base = event_base_new();
+	event_set_log_callback(log_libevent);
+	n->base = new_base();
 	ret = init_tasks(n, err);
 	if (ret == 0) {
 		run_loop(n);
--- a/libs/node/task_messages.h
+++ b/libs/node/task_messages.h
@@ -37,6 +37,15 @@
 
 #define SNIPE_TASK_STRIKES_MAX 32
 
+/* Names a granted claim and the node that granted it. */
+struct snipe_claim_handle {
+	char workspace[SNIPE_NAME_SIZE];
+	char identifier[40];
+	char owner[SNIPE_NAME_SIZE];
+	uint64_t owner_process;
+	uint64_t claim;
+};
+
 struct snipe_task_message {
 	enum snipe_task_message_type type;
 	union {
@@ -73,13 +82,7 @@
 			uint64_t call;
 			int failed; /* the owner could not be asked or may not act */
 			enum snipe_claim_verdict verdict;
-			struct snipe_claim_handle {
-				char workspace[SNIPE_NAME_SIZE];
-				char identifier[40];
-				char owner[SNIPE_NAME_SIZE]; /* node that granted the claim */
-				uint64_t owner_process;
-				uint64_t claim;
-			} claim;
+			struct snipe_claim_handle claim;
 			char *answer; /* freed by the mailbox after the handler */
 			size_t answer_len;
 		} claim_answer;
