--- a/bench/load_generator.c
+++ b/bench/load_generator.c
@@ -1,7 +1,7 @@
 /*
  * Load generator: open-loop callers of several workspaces, in phases, against caller listeners.
  *
- *   load_generator CONFIG.json
+ *   load_generator [--table] CONFIG.json
  *
  * CONFIG:
  *   targets      ["IP:PORT", ...] caller listeners, used in turn
@@ -17,7 +17,8 @@
  * A request is whole if status 200, length, checksum and request id of its response are right
  * and it came within timeout_ms of its first attempt. Each attempt is checked against a token
  * bucket with the workspace's rate and burst; an attempt that is within the rate and is refused
- * is a wrongful rejection. The result is one JSON document on stdout.
+ * is a wrongful rejection. The result is one JSON document on stdout, or with --table one line
+ * for each phase.
  */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -640,6 +641,29 @@
 	json_decref(doc);
 }
 
+static void print_table(void)
+{
+	printf("%-10s %9s %9s %9s %9s %9s %9s %7s\n", "phase", "requests", "whole/s", "refused",
+	       "other", "p50 us", "p99 us", "worst");
+	for (int i = 0; i < g.phase_count; i++) {
+		const struct phase *p = &g.phases[i];
+		const char *worst;
+		struct tally sum;
+
+		memset(&sum, 0, sizeof(sum));
+		for (int w = 0; w < g.workspace_count; w++)
+			add_tally(&sum, &g.tallies[i][w]);
+		printf("%-10s %9ld %9.0f %9ld %9ld %9llu %9llu %7.2f\n", p->name, sum.requests,
+		       (double)sum.results[RESULT_WHOLE] * 1e6 /
+			       (double)(p->end_us - p->start_us),
+		       sum.results[RESULT_REFUSED],
+		       sum.requests - sum.results[RESULT_WHOLE] - sum.results[RESULT_REFUSED],
+		       (unsigned long long)snipe_histogram_quantile(&sum.latency, 0.5),
+		       (unsigned long long)snipe_histogram_quantile(&sum.latency, 0.99),
+		       worst_share(i, &worst));
+	}
+}
+
 static void on_deadline(evutil_socket_t fd, short events, void *arg)
 {
 	(void)fd;
@@ -650,13 +674,14 @@
 
 int main(int argc, char **argv)
 {
+	int table = argc == 3 && strcmp(argv[1], "--table") == 0;
 	struct event *deadline;
 
-	if (argc != 2)
-		fail("usage: load_generator CONFIG.json");
+	if (argc != 2 + table)
+		fail("usage: load_generator [--table] CONFIG.json");
 	signal(SIGPIPE, SIG_IGN);
 	g.base = event_base_new();
-	load_config(argv[1]);
+	load_config(argv[1 + table]);
 	for (int w = 0; w < g.workspace_count; w++) {
 		g.workspaces[w].refilled_us = g.start_us;
 		g.arrivals[w] = evtimer_new(g.base, on_arrival, GINT_TO_POINTER(w));
@@ -666,6 +691,9 @@
 	deadline = evtimer_new(g.base, on_deadline, NULL);
 	add_timer(deadline, g.end_us - g.start_us + (g.timeout_ms + 2500) * (int64_t)1000);
 	event_base_dispatch(g.base);
-	print_results();
+	if (table)
+		print_table();
+	else
+		print_results();
 	return 0;
 }
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -300,7 +300,7 @@
 			if (n == nodes_[std::min<size_t>(nodes_.size(), 4) - 1])
 				break;
 		}
-	toml << "]\n";
+	toml << "]\n" << node.spec.settings;
 	WriteFile(file, toml.str());
 	node.process = std::make_unique<Process>(
 		std::vector<std::string>{"snipescaled", "--settings", file},
@@ -333,6 +333,8 @@
 	args.insert(args.end(), node.spec.backend_args.begin(), node.spec.backend_args.end());
 	if (node.spec.backend_relay)
 		args.push_back("--no-announce");
+	if (!node.spec.record)
+		args.push_back("--no-record");
 	node.backend = std::make_unique<Process>(args, File(node.spec.id + "-backend"));
 	auto pairs = node.backend->WaitEvent("listening");
 	node.backend_port = PortOf(pairs, "port");
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -38,6 +38,8 @@
 	std::vector<std::string> backend_args = {};
 	bool backend_relay = false; /* a relay between node and backend server */
 	std::string region = "region-1";
+	std::string settings = ""; /* more TOML, for example [overload] */
+	bool record = true;	   /* false: the backend server records nothing */
 };
 
 struct Relay {
