Add silent and cut links between nodes to the process tests

Open connections that stop carrying data while new ones work have to be tested between nodes too, but nodes advertise their own addresses, so that no relay can stand between them.

tests/support/silence takes copies of a child's sockets with pidfd_getfd and attaches a filter that drops every packet, or shuts them down.

--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -170,6 +170,25 @@
 	CheckRuns();
 }
 
+/* Claims, their answers and the charges themselves are lost on the way between nodes. */
+TEST_F(AtMostOnce, LinksBetweenNodesGoSilentAndAreCut)
+{
+	Start();
+	auto callers = Resenders(16, true);
+	auto plain = Resenders(8, false);
+
+	for (size_t n = 0; n < fleet.size(); n++) {
+		ASSERT_TRUE(callers->WaitMore(30));
+		EXPECT_GT(fleet.SilenceLinks(n), 0);
+		ASSERT_TRUE(callers->WaitMore(30));
+		EXPECT_GT(fleet.CutLinks(n), 0);
+	}
+	ASSERT_TRUE(callers->WaitMore(30));
+	callers->Stop();
+	plain->Stop();
+	CheckRuns();
+}
+
 /* Each node owns some shards, so each is killed in turn; identifiers that ran under the former
  * owner come again to the new one. */
 TEST_F(AtMostOnce, OwnersAreKilledAndIdentifiersComeAgain)
--- a/tests/process/not_run_test.cc
+++ b/tests/process/not_run_test.cc
@@ -124,6 +124,21 @@
 	Check(callers->Stop());
 }
 
+TEST_F(NotRun, LinksBetweenNodesGoSilentAndAreCut)
+{
+	Start();
+	auto callers = Callers("{\"service_ms\":20}");
+
+	for (int i = 0; i < 3; i++) {
+		ASSERT_TRUE(callers->WaitMore(100));
+		EXPECT_GT(fleet.SilenceLinks(0), 0);
+		ASSERT_TRUE(callers->WaitMore(100));
+		EXPECT_GT(fleet.CutLinks(1), 0);
+	}
+	ASSERT_TRUE(callers->WaitMore(100));
+	Check(callers->Stop());
+}
+
 TEST_F(NotRun, ResponsesAreTruncatedAndRequestsFail)
 {
 	Start();
--- a/tests/process/retry_bound_test.cc
+++ b/tests/process/retry_bound_test.cc
@@ -100,6 +100,27 @@
 	SendAndCheck(12);
 }
 
+TEST_F(RetryBound, LinksBetweenNodesBreak)
+{
+	Start();
+	for (int i = 0; i < 6; i++) {
+		std::vector<std::string> ids;
+		std::vector<std::thread> threads;
+
+		for (int t = 0; t < 8; t++)
+			ids.push_back(NewId());
+		for (size_t t = 0; t < 8; t++)
+			threads.emplace_back([&, t] { Send(t % fleet.size(), ids[t]); });
+		WaitFor([&] { return fleet.Started(ids[0]) > 0; });
+		for (size_t n = 0; n < fleet.size(); n++)
+			i % 2 ? fleet.SilenceLinks(n) : fleet.CutLinks(n);
+		for (auto &t : threads)
+			t.join();
+		for (const auto &id : ids)
+			EXPECT_LE(Retries(id), kMaxRetries) << id;
+	}
+}
+
 TEST_F(RetryBound, BackendServersLoseTheContext)
 {
 	Start();
--- a/tests/process/stand_ins_test.cc
+++ b/tests/process/stand_ins_test.cc
@@ -2,9 +2,12 @@
 // bring about exactly the failures that they are told to.
 #include <gtest/gtest.h>
 
+#include <errno.h>
 #include <signal.h>
+#include <string.h>
 
 #include "support/fleet.h"
+#include "support/silence.h"
 
 using namespace snipe_test;
 
@@ -187,3 +190,29 @@
 	put("{\"refuse\":true}");
 	EXPECT_FALSE(Fetch(port, "GET", "/x").complete);
 }
+
+TEST(Silence, OpenConnectionsGoSilentWhileNewOnesWork)
+{
+	TempDir dir;
+	Backend b(dir);
+	HttpConnection open(b.port);
+
+	ASSERT_EQ(open.Request("GET", "/x").status, 200);
+	ASSERT_EQ(SilenceConnections(b.process->pid(), b.port), 1) << strerror(errno);
+	open.SetTimeout(300);
+	EXPECT_FALSE(open.Request("GET", "/x", {{"Fake-Request-Id", "lost"}}).complete);
+	EXPECT_EQ(Fetch(b.port, "GET", "/x").status, 200);
+	EXPECT_EQ(Count(ReadFile(b.bytes), "lost"), 0u);
+}
+
+TEST(Silence, OpenConnectionsAreCut)
+{
+	TempDir dir;
+	Backend b(dir);
+	HttpConnection open(b.port);
+
+	ASSERT_EQ(open.Request("GET", "/x").status, 200);
+	ASSERT_EQ(CutConnections(b.process->pid(), b.port), 1) << strerror(errno);
+	EXPECT_FALSE(open.Request("GET", "/x").complete);
+	EXPECT_EQ(Fetch(b.port, "GET", "/x").status, 200);
+}
--- a/tests/process/whole_response_test.cc
+++ b/tests/process/whole_response_test.cc
@@ -108,6 +108,21 @@
 	Check(callers->Stop());
 }
 
+TEST_F(WholeResponse, LinksBetweenNodesGoSilentAndAreCut)
+{
+	Start();
+	auto callers = Callers();
+
+	for (size_t n = 0; n < 2; n++) {
+		ASSERT_TRUE(callers->WaitMore(100));
+		EXPECT_GT(fleet.SilenceLinks(n), 0);
+		ASSERT_TRUE(callers->WaitMore(100));
+		EXPECT_GT(fleet.CutLinks(n), 0);
+	}
+	ASSERT_TRUE(callers->WaitMore(200));
+	Check(callers->Stop());
+}
+
 TEST_F(WholeResponse, NodesDieAndPause)
 {
 	Start();
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -13,6 +13,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "support/silence.h"
+
 namespace snipe_test
 {
 
@@ -560,6 +562,24 @@
 	return text;
 }
 
+int Fleet::SilenceLinks(size_t node)
+{
+	int count = 0;
+
+	for (const auto &n : nodes_)
+		count += SilenceConnections(nodes_[node]->process->pid(), n->peer_port);
+	return count;
+}
+
+int Fleet::CutLinks(size_t node)
+{
+	int count = 0;
+
+	for (const auto &n : nodes_)
+		count += CutConnections(nodes_[node]->process->pid(), n->peer_port);
+	return count;
+}
+
 void Fleet::PlatformDown()
 {
 	platform_relay.Control("{\"refuse\":true,\"cut\":true}");
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -120,6 +120,10 @@
 	{
 		return platform_port_;
 	}
+	/* Open links between this node and all others stop carrying bytes, or are closed; new
+	 * links work. Return the number of links. */
+	int SilenceLinks(size_t node);
+	int CutLinks(size_t node);
 	/* Platform outage as the nodes see it. */
 	void PlatformDown();
 	void PlatformUp();
