--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -13,6 +13,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "support/silence.h"
+
 namespace snipe_test
 {
 
@@ -300,7 +302,7 @@
 			if (n == nodes_[std::min<size_t>(nodes_.size(), 4) - 1])
 				break;
 		}
-	toml << "]\n";
+	toml << "]\n" << node.spec.settings;
 	WriteFile(file, toml.str());
 	node.process = std::make_unique<Process>(
 		std::vector<std::string>{"snipescaled", "--settings", file},
@@ -333,6 +335,8 @@
 	args.insert(args.end(), node.spec.backend_args.begin(), node.spec.backend_args.end());
 	if (node.spec.backend_relay)
 		args.push_back("--no-announce");
+	if (!node.spec.record)
+		args.push_back("--no-record");
 	node.backend = std::make_unique<Process>(args, File(node.spec.id + "-backend"));
 	auto pairs = node.backend->WaitEvent("listening");
 	node.backend_port = PortOf(pairs, "port");
@@ -558,6 +562,24 @@
 	return text;
 }
 
+int Fleet::SilenceLinks(size_t node)
+{
+	int count = 0;
+
+	for (const auto &n : nodes_)
+		count += SilenceConnections(nodes_[node]->process->pid(), n->peer_port);
+	return count;
+}
+
+int Fleet::CutLinks(size_t node)
+{
+	int count = 0;
+
+	for (const auto &n : nodes_)
+		count += CutConnections(nodes_[node]->process->pid(), n->peer_port);
+	return count;
+}
+
 void Fleet::PlatformDown()
 {
 	platform_relay.Control("{\"refuse\":true,\"cut\":true}");
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -38,6 +38,8 @@
 	std::vector<std::string> backend_args = {};
 	bool backend_relay = false; /* a relay between node and backend server */
 	std::string region = "region-1";
+	std::string settings = ""; /* more TOML, for example [overload] */
+	bool record = true;	   /* false: the backend server records nothing */
 };
 
 struct Relay {
@@ -118,6 +120,10 @@
 	{
 		return platform_port_;
 	}
+	/* Open links between this node and all others stop carrying bytes, or are closed; new
+	 * links work. Return the number of links. */
+	int SilenceLinks(size_t node);
+	int CutLinks(size_t node);
 	/* Platform outage as the nodes see it. */
 	void PlatformDown();
 	void PlatformUp();
