core: Add the choice of a backend server

The last twentieths of the connections are kept for more important calls, so that none is rejected behind less important ones.

--- a/libs/core/balancer.h
+++ b/libs/core/balancer.h
@@ -2,7 +2,9 @@
  * Choice of a backend server for one call, from outcomes and work in flight.
  *
  * One balancer for each pool at each node. Servers are named by the handle that
- * snipe_balancer_add returns; a handle stays valid until snipe_balancer_remove.
+ * snipe_balancer_add returns; a handle stays valid until snipe_balancer_remove and is not given
+ * out again, so that a late snipe_balancer_record is ignored.
+ * docs/decisions/choice-of-server.md states the reasons for the rules.
  */
 #ifndef SNIPE_BALANCER_H
 #define SNIPE_BALANCER_H
@@ -37,7 +39,9 @@
 /* Fields are private. */
 struct snipe_balancer {
 	struct snipe_balancer_server *servers;
+	int *candidates; /* scratch space of snipe_balancer_choose */
 	int size;
+	unsigned generation;
 	int failure_domain; /* caller's own, as a small id chosen by the owner */
 	int connections;    /* upper bound of calls in flight to one server, from the table */
 };
@@ -56,15 +60,19 @@
 
 /*
  * Chooses a server and counts a call in flight on it. exclude lists servers that this call has
- * already tried. Returns a handle, SNIPE_ERR_NOT_FOUND if no server is usable, or
- * SNIPE_ERR_FULL if every usable server refuses this importance (early refusal, but for 1 call
- * in 20 as a probe) or has no connection left.
+ * already tried. Returns a handle, SNIPE_ERR_NOT_FOUND if no server outside exclude is usable
+ * and not ejected, or SNIPE_ERR_FULL if every such server refuses this importance (early
+ * refusal, but for 1 call in 20 as a probe) or has no connection left. The last twentieths of
+ * the connections are kept for more important calls. Load reports older than 1 s are not used.
  */
 int snipe_balancer_choose(struct snipe_balancer *b, int64_t now_us, GRand *rng,
 			  enum snipe_importance importance, const int *exclude,
 			  int exclude_count);
 
-/* Records the end of a call that snipe_balancer_choose counted. report may be NULL. */
+/*
+ * Records the end of a call that snipe_balancer_choose counted. latency_us is the time since
+ * the call was chosen. report may be NULL.
+ */
 void snipe_balancer_record(struct snipe_balancer *b, int server, int64_t now_us,
 			   int64_t latency_us, enum snipe_server_outcome outcome,
 			   const struct snipe_load_report *report);
