core: Add retry bounds and the crash guard

A strike names the death that caused it, because several running calls of one harmless request would otherwise make it suspect at a single death. The retry budget counts in hundredths of a token: the sum of ten tenths is below 1 in floating point.

Chain of 6 services that each retry twice: the last one runs 3 times with a ledger of 2, 729 times without.

--- /dev/null
+++ b/libs/core/crash_guard.c
@@ -0,0 +1,117 @@
+#include "core/crash_guard.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+
+#define STRIKES_TO_SUSPECT 2
+#define SUSPECT_US 600000000
+#define WAYS 8 /* entries in which a fingerprint can be */
+#define SETS (SNIPE_CRASH_GUARD_ENTRIES / WAYS)
+
+void snipe_crash_guard_init(struct snipe_crash_guard *g)
+{
+	memset(g, 0, sizeof(*g));
+}
+
+uint64_t snipe_crash_fingerprint(const char *route, const char *method, const char *path,
+				 const void *body, size_t body_len)
+{
+	uint64_t h = snipe_hash64_str(route);
+
+	/* Each hash is the seed of the next, which keeps the fields apart. */
+	h = snipe_hash64_seed(method, strlen(method), h);
+	h = snipe_hash64_seed(path, strlen(path), h);
+	h = snipe_hash64_seed(body_len ? body : "", body_len, h);
+	return h ? h : 1;
+}
+
+static struct snipe_crash_entry *entry_set(struct snipe_crash_guard *g, uint64_t fingerprint)
+{
+	return &g->entries[fingerprint % SETS * WAYS];
+}
+
+static struct snipe_crash_entry *find_entry(struct snipe_crash_guard *g, uint64_t fingerprint)
+{
+	struct snipe_crash_entry *set = entry_set(g, fingerprint);
+
+	for (int i = 0; i < WAYS; i++)
+		if (set[i].fingerprint == fingerprint && fingerprint != 0)
+			return &set[i];
+	return NULL;
+}
+
+static int is_outdated(const struct snipe_crash_entry *e, int64_t now_us)
+{
+	return now_us - e->last_strike_us >= SUSPECT_US;
+}
+
+/* Suspects are kept rather than others, and newer entries rather than older ones. */
+static int is_worth_less(const struct snipe_crash_entry *a, const struct snipe_crash_entry *b,
+			 int64_t now_us)
+{
+	int free_a = a->fingerprint == 0 || is_outdated(a, now_us);
+	int free_b = b->fingerprint == 0 || is_outdated(b, now_us);
+	int suspect_a = a->strikes >= STRIKES_TO_SUSPECT;
+	int suspect_b = b->strikes >= STRIKES_TO_SUSPECT;
+
+	if (free_a != free_b)
+		return free_a;
+	if (suspect_a != suspect_b)
+		return suspect_b;
+	return a->last_strike_us < b->last_strike_us;
+}
+
+static struct snipe_crash_entry *replace_entry(struct snipe_crash_guard *g, int64_t now_us,
+					       uint64_t fingerprint)
+{
+	struct snipe_crash_entry *set = entry_set(g, fingerprint), *least = &set[0];
+
+	for (int i = 1; i < WAYS; i++)
+		if (is_worth_less(&set[i], least, now_us))
+			least = &set[i];
+	memset(least, 0, sizeof(*least));
+	least->fingerprint = fingerprint;
+	return least;
+}
+
+int snipe_crash_guard_strike(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint,
+			     uint64_t death)
+{
+	struct snipe_crash_entry *e = find_entry(g, fingerprint);
+
+	if (fingerprint == 0) /* marks a free entry; may come from the network */
+		return 0;
+	if (!e)
+		e = replace_entry(g, now_us, fingerprint);
+	else if (is_outdated(e, now_us))
+		e->strikes = 0;
+	else if (e->last_death == death)
+		return 0;
+	e->strikes++;
+	e->last_death = death;
+	e->last_strike_us = now_us;
+	return 1;
+}
+
+int snipe_crash_guard_success(struct snipe_crash_guard *g, uint64_t fingerprint)
+{
+	struct snipe_crash_entry *e = find_entry(g, fingerprint);
+
+	if (!e)
+		return 0;
+	memset(e, 0, sizeof(*e));
+	return 1;
+}
+
+int snipe_crash_guard_is_suspect(const struct snipe_crash_guard *g, int64_t now_us,
+				 uint64_t fingerprint)
+{
+	const struct snipe_crash_entry *set = &g->entries[fingerprint % SETS * WAYS];
+
+	for (int i = 0; i < WAYS; i++)
+		if (set[i].fingerprint == fingerprint)
+			return set[i].strikes >= STRIKES_TO_SUSPECT &&
+			       !is_outdated(&set[i], now_us);
+	return 0;
+}
--- a/libs/core/retry.h
+++ b/libs/core/retry.h
@@ -1,6 +1,7 @@
 /*
  * Retries: a ledger at the first node bounds all retries behind one client request; a ratio
  * budget for each route at each node bounds retries against its calls; backoff has full jitter.
+ * docs/decisions/retry-bound.md states the reasons.
  */
 #ifndef SNIPE_RETRY_H
 #define SNIPE_RETRY_H
@@ -21,7 +22,7 @@
 void snipe_retry_ledger_finish(struct snipe_retry_ledger *l);
 
 /* A client request enters here with its route's max_retries. Ids are unique for the node's
- * life. */
+ * life; an id that is open already keeps its ledger. */
 void snipe_retry_ledger_open(struct snipe_retry_ledger *l, uint64_t request, int max_retries);
 void snipe_retry_ledger_close(struct snipe_retry_ledger *l, uint64_t request);
 
@@ -32,10 +33,16 @@
 /* Ratio budget of one route at one node. Fields are private. */
 struct snipe_retry_budget {
 	int percent;
-	double tokens;
+	int hundredths; /* of a token; each call adds percent, a retry takes 100 */
 };
 
+/*
+ * Retries are at most percent of the calls, plus one at the start; at most 10 are saved up.
+ * With percent 0 there are none.
+ */
 void snipe_retry_budget_init(struct snipe_retry_budget *b, int percent);
+/* Takes a changed table into account and keeps what is saved up. */
+void snipe_retry_budget_set_percent(struct snipe_retry_budget *b, int percent);
 void snipe_retry_budget_on_call(struct snipe_retry_budget *b);
 int snipe_retry_budget_take(struct snipe_retry_budget *b);
 /* Gives back a token whose retry was refused by the ledger. */
