--- a/libs/core/membership.c
+++ b/libs/core/membership.c
@@ -197,18 +197,23 @@
 	spread(m, e);
 }
 
-/* Others hold a judgement about this process: a higher incarnation refutes it. A record without
- * a failure domain comes from a member that does not know this one (see ack). */
+/*
+ * Others hold a record of this node that is not its own. A judgement about this incarnation is
+ * refuted by a higher one; a sender with an older judgement, or of an older process, missed the
+ * present record and gets it again. The record without a failure domain comes from a member
+ * that does not know this one (see ack).
+ */
 static void refute(struct snipe_membership *m, int64_t now_us, const struct snipe_member *r)
 {
-	if (r->process == m->self.process && !r->failure_domain[0]) {
-		publish_self(m, now_us);
+	if (r->process > m->self.process)
 		return;
+	if (r->process == m->self.process && r->failure_domain[0]) {
+		if (r->state == m->self.state ||
+		    (r->incarnation < m->self.incarnation && state_rank(r->state) == 0))
+			return;
+		if (r->incarnation >= m->self.incarnation)
+			m->self.incarnation = r->incarnation + 1;
 	}
-	if (r->process != m->self.process || r->incarnation < m->self.incarnation ||
-	    (r->incarnation == m->self.incarnation && r->state == m->self.state))
-		return;
-	m->self.incarnation = r->incarnation + 1;
 	publish_self(m, now_us);
 }
 
@@ -408,10 +413,15 @@
 					struct snipe_membership_entry *e)
 {
 	struct pending_probe pending = {0};
+	struct snipe_membership_entry *any;
 	struct snipe_probe *p = send_to(m, actions, SNIPE_PROBE, e);
 
 	if (!p)
 		return NULL;
+	/* One random record on each probe repairs lists that lost an update for good. */
+	if (p->update_count < SNIPE_UPDATES_PER_DATAGRAM &&
+	    choose_random(m, 1, e->member.node_id, &any))
+		carry(m, p, any);
 	p->sequence = pending.sequence = m->next_sequence++;
 	pending.sent_us = now_us;
 	g_strlcpy(pending.node_id, e->member.node_id, sizeof(pending.node_id));
--- a/libs/core/ownership.c
+++ b/libs/core/ownership.c
@@ -54,8 +54,10 @@
 			return SNIPE_ERR_SYNTAX;
 	}
 	for (int i = 0; i < SNIPE_SHARDS; i++) {
-		if (shards[i].epoch != o->shards[i].epoch)
-			o->seen_us[i] = now_us;
+		if (shards[i].epoch == o->shards[i].epoch)
+			continue;
+		o->wait_us[i] = now_us;
+		o->has_begun[i] = 0;
 	}
 	memcpy(o->shards, shards, sizeof(o->shards));
 	o->version = version;
@@ -75,20 +77,37 @@
 		return INT64_MAX;
 	/* At the first epoch there is no former owner to wait for. */
 	if (s->released || s->epoch == 1)
-		return o->seen_us[shard];
-	return o->seen_us[shard] + SNIPE_TAKEOVER_WAIT_US;
+		return o->wait_us[shard];
+	return o->wait_us[shard] + SNIPE_TAKEOVER_WAIT_US;
 }
 
-int snipe_ownership_may_act(const struct snipe_ownership *o, int shard,
+void snipe_ownership_tick(struct snipe_ownership *o, const struct snipe_control_state *c,
+			  int64_t now_us)
+{
+	int is_valid = snipe_control_state_mode(c, now_us) != SNIPE_CONTROL_UNCONFIRMED;
+
+	for (int i = 0; i < SNIPE_SHARDS && (!is_valid || now_us > o->valid_until_us); i++) {
+		if (!o->has_begun[i])
+			o->wait_us[i] = now_us;
+	}
+	if (is_valid)
+		o->valid_until_us = snipe_control_state_valid_until(c, now_us);
+}
+
+int snipe_ownership_may_act(struct snipe_ownership *o, int shard,
 			    const struct snipe_control_state *c, int64_t now_us)
 {
 	struct snipe_digest held;
 
+	snipe_ownership_tick(o, c, now_us);
 	if (now_us < snipe_ownership_acts_from(o, shard))
 		return 0;
 	snipe_control_state_own_digest(c, now_us, &held);
-	return held.versions[SNIPE_OBJECT_SHARDS] == o->version &&
-	       snipe_control_state_mode(c, now_us) != SNIPE_CONTROL_UNCONFIRMED;
+	if (held.versions[SNIPE_OBJECT_SHARDS] != o->version ||
+	    snipe_control_state_mode(c, now_us) == SNIPE_CONTROL_UNCONFIRMED)
+		return 0;
+	o->has_begun[shard] = 1;
+	return 1;
 }
 
 static int has_live_owner(const struct snipe_shard *s, const struct snipe_membership *members)
@@ -132,7 +151,7 @@
 	for (int i = 0; i < SNIPE_SHARDS; i++) {
 		const struct snipe_shard *s = &o->shards[i];
 		int is_own = !strcmp(s->owner, o->node_id) && s->process == o->process;
-		int release = releasing && is_own && s->epoch;
+		int release = releasing && is_own && s->epoch > 0;
 		const struct snipe_member *m;
 
 		/* A draining node hands over its own shards; the rest is for others. */
--- a/libs/core/ownership.h
+++ b/libs/core/ownership.h
@@ -27,7 +27,9 @@
 struct snipe_ownership {
 	struct snipe_shard shards[SNIPE_SHARDS];
 	uint64_t version;	       /* 0: no map yet */
-	int64_t seen_us[SNIPE_SHARDS]; /* when the owner's epoch was first seen here */
+	int64_t wait_us[SNIPE_SHARDS]; /* when the wait for the former owner began */
+	int has_begun[SNIPE_SHARDS];   /* acted in this epoch */
+	int64_t valid_until_us;	       /* of the control state, when last looked at */
 	char node_id[SNIPE_NAME_SIZE];
 	uint64_t process; /* as in struct snipe_member */
 };
@@ -45,13 +47,23 @@
 /* Returns the owner's shard entry. */
 const struct snipe_shard *snipe_ownership_shard(const struct snipe_ownership *o, int shard);
 
-/* Returns nonzero if this process owns the shard and may act on it now. Ask immediately before
- * each use, with a clock that was read after any pause. */
-int snipe_ownership_may_act(const struct snipe_ownership *o, int shard,
+/*
+ * Returns nonzero if this process owns the shard and may act on it now. Ask immediately before
+ * each use, with a clock that was read after any pause.
+ *
+ * The wait for the former owner counts only while the control state is valid without a break:
+ * in a platform outage this node may be the only one that saw the new map, and the former owner
+ * has to learn of it first.
+ */
+int snipe_ownership_may_act(struct snipe_ownership *o, int shard,
 			    const struct snipe_control_state *c, int64_t now_us);
 
+/* Notices breaks of the control state's validity; call every 100 ms or sooner. */
+void snipe_ownership_tick(struct snipe_ownership *o, const struct snipe_control_state *c,
+			  int64_t now_us);
+
 /* Returns the time when this process may begin to act on the shard, INT64_MAX if it is not the
- * owner. */
+ * owner. Fixed for the epoch once snipe_ownership_may_act allowed it. */
 int64_t snipe_ownership_acts_from(const struct snipe_ownership *o, int shard);
 
 /*
--- a/tests/core/ownership_test.cc
+++ b/tests/core/ownership_test.cc
@@ -45,6 +45,14 @@
 		for (int i = 0; i < SNIPE_OBJECT_COUNT; i++)
 			snipe_control_state_read(&c, (snipe_object_id)i, version, at);
 	}
+	// Reads and ticks every 100 ms, as the control task does.
+	void tick(int64_t from, int64_t to)
+	{
+		for (int64_t now = from; now < to; now += S / 10) {
+			read(c.versions[SNIPE_OBJECT_SHARDS], now);
+			snipe_ownership_tick(&o, &c, now);
+		}
+	}
 	void merge(const snipe_member &r)
 	{
 		int changed = 0;
@@ -73,12 +81,31 @@
 	ASSERT_EQ(snipe_ownership_load(&o, 1, 0, map), 0);
 	EXPECT_EQ(snipe_ownership_acts_from(&o, 0), INT64_MAX);
 	assign(map, "a", 4);
+	read(2, 10 * S);
 	ASSERT_EQ(snipe_ownership_load(&o, 2, 10 * S, map), 0);
-	read(2, 14 * S);
+	tick(10 * S, 15 * S);
 	EXPECT_FALSE(snipe_ownership_may_act(&o, 0, &c, 15 * S - 1));
 	EXPECT_TRUE(snipe_ownership_may_act(&o, 0, &c, 15 * S));
-	// Acting ends 3 s after the sending of the last read.
-	EXPECT_TRUE(snipe_ownership_may_act(&o, 0, &c, 17 * S - 1));
+	EXPECT_EQ(snipe_ownership_acts_from(&o, 0), 15 * S);
+	// Acting ends 3 s after the sending of the last read, and goes on with a later one.
+	EXPECT_FALSE(snipe_ownership_may_act(&o, 0, &c, 30 * S));
+	read(2, 30 * S);
+	EXPECT_TRUE(snipe_ownership_may_act(&o, 0, &c, 30 * S));
+}
+
+// The fault: a node that alone saw the new map, was paused and resumed in an outage acted
+// beside the former owner, which could not know the map yet.
+TEST_F(Ownership, WaitStartsAgainAfterABreak)
+{
+	assign(map, "a", 4);
+	read(2, 10 * S);
+	ASSERT_EQ(snipe_ownership_load(&o, 2, 10 * S, map), 0);
+	tick(10 * S, 12 * S);
+	read(2, 60 * S); // paused in between
+	EXPECT_FALSE(snipe_ownership_may_act(&o, 0, &c, 60 * S));
+	tick(60 * S, 65 * S - 1);
+	EXPECT_FALSE(snipe_ownership_may_act(&o, 0, &c, 65 * S - 1));
+	EXPECT_TRUE(snipe_ownership_may_act(&o, 0, &c, 65 * S));
 }
 
 TEST_F(Ownership, FirstEpochAndReleaseActAtOnce)
