Take the handles of the balancer as opaque

The balancer's handles now carry a generation, so an array indexed by them had 65,537 entries for two servers. Servers are found by hash tables, and a late record is left to the balancer. A call that was queued is followed by a look at the queue, as admission asks: it may be the one to run.

--- a/libs/node/backend_call.c
+++ b/libs/node/backend_call.c
@@ -356,6 +356,8 @@
 		set_deadline(call, timeout_us);
 		if (verdict == SNIPE_ADMISSION_RUN)
 			run(call);
+		/* Equally important calls that wait may come first, so it had to wait too. */
+		snipe_backend_call_start_waiting(t);
 		return;
 	}
 	reply_rejection(t, &call->origin,
--- a/libs/node/backend_state.h
+++ b/libs/node/backend_state.h
@@ -58,6 +58,7 @@
 	/* the backend server as it announced itself */
 	struct snipe_announcement announced;
 	int64_t heard_us; /* last announcement; 0: none, or none since it died */
+	uint64_t death;	  /* of the last death; 0: it announced itself since */
 	int is_draining;  /* the node drains */
 	enum snipe_member_state posted_state;
 	char posted_pool[SNIPE_NAME_SIZE];
--- a/libs/node/caller_attempt.c
+++ b/libs/node/caller_attempt.c
@@ -57,8 +57,9 @@
 {
 	int64_t now = snipe_now_us();
 
-	snipe_server_pool_record(call->pool, &call->server, now, now - call->sent_us, outcome,
-				 load);
+	snipe_balancer_record(&call->pool->balancer, call->server, now, now - call->chosen_us,
+			      outcome, load);
+	call->server = -1;
 }
 
 static void link_failed(struct snipe_call *call, int err)
@@ -132,8 +133,7 @@
 		return;
 	}
 	call->state = SNIPE_CALL_SENT;
-	call->sent_us = now;
-	call->tried[call->tried_count++] = call->server.handle;
+	call->tried[call->tried_count++] = call->server;
 	call->peer_request = snipe_peer_request(
 		t->peers, &call->address, &msg, call->body, call->body_len,
 		call->deadline_us - now + SNIPE_DEADLINE_GRACE_US, on_answer, call);
@@ -265,15 +265,16 @@
 {
 	struct snipe_caller_task *t = call->task;
 	int64_t now = snipe_now_us();
-	int ret =
-		snipe_server_pool_choose(call->pool, now, t->rng, call->importance, call->tried,
-					 call->tried_count, &call->server, &call->address);
+	int server = snipe_server_pool_choose(call->pool, now, t->rng, call->importance,
+					      call->tried, call->tried_count, &call->address);
 
 	/* All usable servers were tried: one of them may do by now. */
-	if (ret == SNIPE_ERR_NOT_FOUND)
-		ret = snipe_server_pool_choose(call->pool, now, t->rng, call->importance, NULL,
-					       0, &call->server, &call->address);
-	if (ret)
+	if (server == SNIPE_ERR_NOT_FOUND)
+		server = snipe_server_pool_choose(call->pool, now, t->rng, call->importance,
+						  NULL, 0, &call->address);
+	call->server = server;
+	call->chosen_us = now;
+	if (server < 0)
 		snipe_call_reject(call, call->last_reason);
 	else
 		snipe_call_send(call);
--- a/libs/node/caller_call.c
+++ b/libs/node/caller_call.c
@@ -29,9 +29,9 @@
 		snipe_call_leave_token_queue(call);
 	if (call->peer_request)
 		snipe_peer_cancel(t->peers, call->peer_request);
-	if (call->server.handle >= 0)
-		snipe_server_pool_record(call->pool, &call->server, now, now - call->sent_us,
-					 SNIPE_OUTCOME_CANCELLED, NULL);
+	if (call->server >= 0)
+		snipe_balancer_record(&call->pool->balancer, call->server, now,
+				      now - call->chosen_us, SNIPE_OUTCOME_CANCELLED, NULL);
 	if (call->depth == 1)
 		snipe_retry_ledger_close(&t->ledger, call->id);
 	event_del(&call->timer);
@@ -158,15 +158,16 @@
 void snipe_call_choose_server(struct snipe_call *call)
 {
 	struct snipe_caller_task *t = call->task;
-	int ret = SNIPE_ERR_NOT_FOUND;
+	int server = SNIPE_ERR_NOT_FOUND;
 
+	call->chosen_us = snipe_now_us();
 	if (call->pool)
-		ret = snipe_server_pool_choose(call->pool, snipe_now_us(), t->rng,
-					       call->importance, NULL, 0, &call->server,
-					       &call->address);
-	if (ret == SNIPE_ERR_NOT_FOUND)
+		server = snipe_server_pool_choose(call->pool, call->chosen_us, t->rng,
+						  call->importance, NULL, 0, &call->address);
+	call->server = server;
+	if (server == SNIPE_ERR_NOT_FOUND)
 		snipe_call_reject(call, SNIPE_REASON_NO_BACKEND_SERVER);
-	else if (ret)
+	else if (server < 0)
 		snipe_call_reject(call, SNIPE_REASON_OVERLOADED);
 	else if (call->is_inner || !*call->workspace)
 		snipe_call_send(call);
@@ -230,7 +231,7 @@
 	call->task = t;
 	call->req = req;
 	call->id = ++t->next_id;
-	call->server.handle = -1;
+	call->server = -1;
 	call->started_us = snipe_now_us();
 	event_assign(&call->timer, t->base, -1, 0, on_timer, call);
 	if (t->snapshot)
--- a/libs/node/caller_state.h
+++ b/libs/node/caller_state.h
@@ -87,9 +87,9 @@
 	int attempt;
 	int tried[SNIPE_MAX_ATTEMPTS];
 	int tried_count;
-	struct snipe_server_ref server;
+	int server; /* chosen and not recorded yet; negative: none */
 	struct snipe_address address;
-	int64_t sent_us;
+	int64_t chosen_us;
 	uint64_t peer_request; /* attempt or question to the ledger; 0: none */
 	enum snipe_reason last_reason;
 	enum snipe_reason unknown_reason; /* of an attempt that may have run */
--- a/libs/node/server_table.c
+++ b/libs/node/server_table.c
@@ -14,8 +14,8 @@
 	struct snipe_server_pool *p = data;
 
 	snipe_balancer_finish(&p->balancer);
+	g_hash_table_destroy(p->by_handle);
 	g_hash_table_destroy(p->by_id);
-	g_array_free(p->servers, TRUE);
 	g_free(p);
 }
 
@@ -52,11 +52,6 @@
 	return g_hash_table_lookup(t->pools, name);
 }
 
-static struct snipe_server *server_at(const struct snipe_server_pool *p, int handle)
-{
-	return &g_array_index(p->servers, struct snipe_server, handle);
-}
-
 static void update_pools(struct snipe_server_table *t, const struct snipe_tables *tables)
 {
 	for (int i = 0; i < tables->pool_count; i++) {
@@ -71,22 +66,20 @@
 		memcpy(p->name, row->name, sizeof(p->name));
 		snipe_balancer_init(&p->balancer, domain_id(t, t->failure_domain),
 				    row->connections);
-		p->servers = g_array_new(FALSE, TRUE, sizeof(struct snipe_server));
-		p->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		p->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+		p->by_handle = g_hash_table_new(NULL, NULL);
 		g_hash_table_insert(t->pools, p->name, p);
 	}
 }
 
-static void remove_server(struct snipe_server_pool *p, int handle)
+static void remove_server(struct snipe_server_pool *p, struct snipe_server *s)
 {
-	struct snipe_server *s = server_at(p, handle);
-
-	snipe_balancer_remove(&p->balancer, handle);
+	snipe_balancer_remove(&p->balancer, s->handle);
+	g_hash_table_remove(p->by_handle, GINT_TO_POINTER(s->handle));
 	g_hash_table_remove(p->by_id, s->node_id);
-	s->node_id[0] = '\0';
-	s->generation++;
 }
 
+/* Returns NULL if the balancer has no room. */
 static struct snipe_server *add_server(struct snipe_server_table *t,
 				       struct snipe_server_pool *p,
 				       const struct snipe_member *m, int64_t now_us)
@@ -95,12 +88,15 @@
 					now_us - t->started_us > WARM_US);
 	struct snipe_server *s;
 
-	if ((guint)handle >= p->servers->len)
-		g_array_set_size(p->servers, handle + 1);
-	s = server_at(p, handle);
+	if (handle < 0)
+		return NULL;
+	s = g_new0(struct snipe_server, 1);
+	s->handle = handle;
 	memcpy(s->node_id, m->node_id, sizeof(s->node_id));
+	s->process = m->process;
 	s->is_usable = 1;
-	g_hash_table_insert(p->by_id, g_strdup(m->node_id), GINT_TO_POINTER(handle + 1));
+	g_hash_table_insert(p->by_id, s->node_id, s);
+	g_hash_table_insert(p->by_handle, GINT_TO_POINTER(handle), s);
 	return s;
 }
 
@@ -109,105 +105,93 @@
 {
 	struct snipe_server_pool *p = snipe_server_table_pool(t, m->pool);
 	int is_ready = m->state == SNIPE_MEMBER_READY;
-	int handle;
 	struct snipe_server *s;
 
 	if (!p || m->state == SNIPE_MEMBER_DEAD || m->state == SNIPE_MEMBER_LEFT)
 		return;
-	handle = GPOINTER_TO_INT(g_hash_table_lookup(p->by_id, m->node_id)) - 1;
-	if (handle >= 0 && server_at(p, handle)->process != m->process) {
-		remove_server(p, handle);
-		handle = -1;
+	s = g_hash_table_lookup(p->by_id, m->node_id);
+	if (s && s->process != m->process) {
+		remove_server(p, s);
+		s = NULL;
 	}
-	if (handle < 0) {
-		/* The balancer takes ready servers only. */
-		if (!is_ready)
-			return;
+	/* The balancer takes ready servers only. */
+	if (!s && is_ready)
 		s = add_server(t, p, m, now_us);
-		handle = GPOINTER_TO_INT(g_hash_table_lookup(p->by_id, m->node_id)) - 1;
-	} else {
-		s = server_at(p, handle);
-	}
-	s->process = m->process;
+	if (!s)
+		return;
 	s->address = m->address;
 	s->mark = t->mark;
 	/* A suspected member keeps its last state: the suspicion may be false, and the balancer
 	 * ejects a server that fails. */
 	if (m->state == SNIPE_MEMBER_SUSPECT)
-		is_ready = s->is_usable;
+		return;
 	if (s->is_usable != is_ready)
-		snipe_balancer_set_usable(&p->balancer, handle, is_ready);
+		snipe_balancer_set_usable(&p->balancer, s->handle, is_ready);
 	s->is_usable = is_ready;
 }
 
-static void remove_unseen(struct snipe_server_table *t)
+static void remove_unseen(struct snipe_server_table *t, struct snipe_server_pool *p)
 {
 	GHashTableIter it;
 	gpointer value;
 
-	g_hash_table_iter_init(&it, t->pools);
+	g_hash_table_iter_init(&it, p->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct snipe_server_pool *p = value;
-
-		for (guint i = 0; i < p->servers->len; i++) {
-			struct snipe_server *s = server_at(p, (int)i);
+		struct snipe_server *s = value;
 
-			if (*s->node_id && s->mark != t->mark)
-				remove_server(p, (int)i);
-		}
+		if (s->mark == t->mark)
+			continue;
+		snipe_balancer_remove(&p->balancer, s->handle);
+		g_hash_table_remove(p->by_handle, GINT_TO_POINTER(s->handle));
+		g_hash_table_iter_remove(&it);
 	}
 }
 
 void snipe_server_table_update(struct snipe_server_table *t, const struct snipe_snapshot *s,
 			       int64_t now_us)
 {
+	GHashTableIter it;
+	gpointer pool;
+
 	t->mark++;
 	if (s->tables)
 		update_pools(t, &s->tables->tables);
 	for (int i = 0; i < s->member_count; i++)
 		update_member(t, &s->members[i], now_us);
-	remove_unseen(t);
+	g_hash_table_iter_init(&it, t->pools);
+	while (g_hash_table_iter_next(&it, NULL, &pool))
+		remove_unseen(t, pool);
 }
 
 int snipe_server_pool_choose(struct snipe_server_pool *p, int64_t now_us, GRand *rng,
 			     enum snipe_importance importance, const int *exclude,
-			     int exclude_count, struct snipe_server_ref *ref,
-			     struct snipe_address *address)
+			     int exclude_count, struct snipe_address *address)
 {
 	int handle = snipe_balancer_choose(&p->balancer, now_us, rng, importance, exclude,
 					   exclude_count);
+	const struct snipe_server *s;
 
-	ref->handle = handle;
 	if (handle < 0)
 		return handle;
-	ref->generation = server_at(p, handle)->generation;
-	*address = server_at(p, handle)->address;
-	return 0;
-}
-
-void snipe_server_pool_record(struct snipe_server_pool *p, struct snipe_server_ref *ref,
-			      int64_t now_us, int64_t latency_us,
-			      enum snipe_server_outcome outcome,
-			      const struct snipe_load_report *report)
-{
-	if (ref->handle >= 0 && server_at(p, ref->handle)->generation == ref->generation)
-		snipe_balancer_record(&p->balancer, ref->handle, now_us, latency_us, outcome,
-				      report);
-	ref->handle = -1;
+	s = g_hash_table_lookup(p->by_handle, GINT_TO_POINTER(handle));
+	*address = s->address;
+	return handle;
 }
 
 static void dump_pool(const struct snipe_server_pool *p, int64_t now_us,
 		      struct snipe_buffer *out)
 {
+	GHashTableIter it;
+	gpointer value;
 	int n = 0;
 
-	for (guint i = 0; i < p->servers->len; i++) {
-		const struct snipe_server *s = server_at(p, (int)i);
+	g_hash_table_iter_init(&it, p->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct snipe_server *s = value;
 		char address[SNIPE_ADDRESS_TEXT];
 		struct snipe_balancer_view v;
 
-		if (!*s->node_id ||
-		    snipe_balancer_get_view(&p->balancer, (int)i, now_us, &v) != 0)
+		if (snipe_balancer_get_view(&p->balancer, s->handle, now_us, &v) != 0)
 			continue;
 		snipe_address_format(&s->address, address);
 		snipe_buffer_printf(out,
--- a/libs/node/server_table.h
+++ b/libs/node/server_table.h
@@ -17,12 +17,11 @@
 extern "C" {
 #endif
 
-/* One backend server, by the balancer's handle. */
 struct snipe_server {
-	char node_id[SNIPE_NAME_SIZE]; /* empty: handle is free */
+	int handle; /* of the balancer */
+	char node_id[SNIPE_NAME_SIZE];
 	uint64_t process;
 	struct snipe_address address; /* peer listener of the node beside it */
-	unsigned generation;	      /* raised when the handle is freed */
 	int is_usable;
 	unsigned mark; /* snapshot in which it was last seen */
 };
@@ -30,14 +29,8 @@
 struct snipe_server_pool {
 	char name[SNIPE_NAME_SIZE];
 	struct snipe_balancer balancer;
-	GArray *servers;   /* of struct snipe_server, by handle */
-	GHashTable *by_id; /* node id -> handle + 1 */
-};
-
-/* A server chosen for a call; stale after its server was removed. */
-struct snipe_server_ref {
-	int handle; /* negative: none */
-	unsigned generation;
+	GHashTable *by_id;     /* node id -> struct snipe_server, owned */
+	GHashTable *by_handle; /* handle -> struct snipe_server */
 };
 
 /* Fields are private. */
@@ -62,18 +55,11 @@
 struct snipe_server_pool *snipe_server_table_pool(const struct snipe_server_table *t,
 						  const char *name);
 
-/* Chooses a server as snipe_balancer_choose does. Returns 0 and fills ref and address, or
+/* Chooses a server as snipe_balancer_choose does. Returns its handle and fills address, or
  * SNIPE_ERR_NOT_FOUND or SNIPE_ERR_FULL. */
 int snipe_server_pool_choose(struct snipe_server_pool *p, int64_t now_us, GRand *rng,
 			     enum snipe_importance importance, const int *exclude,
-			     int exclude_count, struct snipe_server_ref *ref,
-			     struct snipe_address *address);
-
-/* Records the end of a call and clears ref. Does nothing if the server was removed. */
-void snipe_server_pool_record(struct snipe_server_pool *p, struct snipe_server_ref *ref,
-			      int64_t now_us, int64_t latency_us,
-			      enum snipe_server_outcome outcome,
-			      const struct snipe_load_report *report);
+			     int exclude_count, struct snipe_address *address);
 
 /* Appends a JSON object: pool -> list of servers. */
 void snipe_server_table_dump(const struct snipe_server_table *t, int64_t now_us,
