--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -305,7 +305,7 @@
 	toml << "]\n" << node.spec.settings;
 	WriteFile(file, toml.str());
 	node.process = std::make_unique<Process>(
-		std::vector<std::string>{"snipescaled", "--settings", file},
+		std::vector<std::string>{"snipescaled", "--config", file},
 		File(node.spec.id));
 	auto pairs = node.process->WaitEvent("listening");
 	node.caller_port = PortOf(pairs, "callers");
