--- a/libs/node/backend_task.c
+++ b/libs/node/backend_task.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "node/backend_state.h"
 #include "node/clock.h"
@@ -124,7 +125,8 @@
 	case SNIPE_TASK_STRIKES:
 		for (int i = 0; i < msg->u.strikes.count; i++)
 			snipe_crash_guard_strike(&t->guard, snipe_now_us(),
-						 msg->u.strikes.fingerprints[i]);
+						 msg->u.strikes.fingerprints[i],
+						 msg->u.strikes.death);
 		break;
 	case SNIPE_TASK_DRAIN:
 		t->is_draining = 1;
@@ -146,13 +148,16 @@
 {
 	struct snipe_task_message m = {.type = SNIPE_TASK_STRIKES};
 
+	m.u.strikes.death = t->death;
 	for (guint i = 0; i < t->calls->len; i++) {
 		struct snipe_backend_call *call = t->calls->pdata[i];
 
 		if (!call || call->state == SNIPE_BACKEND_CALL_WAITING || call->has_strike)
 			continue;
 		call->has_strike = 1;
-		snipe_crash_guard_strike(&t->guard, snipe_now_us(), call->fingerprint);
+		if (!snipe_crash_guard_strike(&t->guard, snipe_now_us(), call->fingerprint,
+					      t->death))
+			continue;
 		if (m.u.strikes.count == SNIPE_TASK_STRIKES_MAX)
 			post_strikes(t, &m);
 		m.u.strikes.fingerprints[m.u.strikes.count++] = call->fingerprint;
@@ -160,8 +165,16 @@
 	post_strikes(t, &m);
 }
 
+/* Calls whose connections end one after another belong to the same death. */
+static void begin_death(struct snipe_backend_task *t)
+{
+	while (t->death == 0)
+		snipe_random_bytes(&t->death, sizeof(t->death));
+}
+
 void snipe_backend_task_died(struct snipe_backend_task *t)
 {
+	begin_death(t);
 	strike_running(t);
 	if (t->heard_us) {
 		t->heard_us = 0;
@@ -206,6 +219,7 @@
 		snipe_limiter_reset(&t->limiter, snipe_now_us());
 	t->announced = a;
 	t->heard_us = snipe_now_us();
+	t->death = 0;
 	snipe_http_client_set_address(&t->http, &a.address);
 	apply_pool(t);
 	post_state(t);
--- a/libs/node/caller_task.c
+++ b/libs/node/caller_task.c
@@ -73,8 +73,8 @@
 		r = g_new0(struct snipe_route_state, 1);
 		snipe_retry_budget_init(&r->budget, route->retry_percent);
 		g_hash_table_insert(t->routes, g_strdup(route->name), r);
-	} else if (r->budget.percent != route->retry_percent) {
-		snipe_retry_budget_init(&r->budget, route->retry_percent);
+	} else {
+		snipe_retry_budget_set_percent(&r->budget, route->retry_percent);
 	}
 	return r;
 }
--- a/libs/node/task_messages.h
+++ b/libs/node/task_messages.h
@@ -54,6 +54,7 @@
 		struct {
 			uint64_t fingerprints[SNIPE_TASK_STRIKES_MAX];
 			int count;
+			uint64_t death; /* identifies the death; see core/crash_guard.h */
 		} strikes;
 		struct {
 			char workspace[SNIPE_NAME_SIZE];
--- a/libs/wire/datagram.c
+++ b/libs/wire/datagram.c
@@ -70,7 +70,7 @@
 	snipe_pack_init(&pk, out);
 	msgpack_pack_array(&pk,
 			   4 + (d->type == SNIPE_DATAGRAM_PROBE	   ? 6
-				: d->type == SNIPE_DATAGRAM_STRIKE ? 1
+				: d->type == SNIPE_DATAGRAM_STRIKE ? 2
 								   : SNIPE_OBJECT_COUNT + 3));
 	msgpack_pack_int(&pk, SNIPE_PROTOCOL_VERSION);
 	msgpack_pack_int(&pk, d->type);
@@ -88,6 +88,7 @@
 		msgpack_pack_array(&pk, (size_t)d->u.strike.count);
 		for (int i = 0; i < d->u.strike.count; i++)
 			msgpack_pack_uint64(&pk, d->u.strike.fingerprints[i]);
+		msgpack_pack_uint64(&pk, d->u.strike.death);
 		break;
 	}
 	snipe_mac(secret, out->data + SNIPE_MAC_SIZE, out->len - SNIPE_MAC_SIZE, mac);
@@ -120,6 +121,7 @@
 	for (int i = 0; i < d->u.strike.count; i++)
 		d->u.strike.fingerprints[i] = snipe_read_uint(&list);
 	r->error |= list.error;
+	d->u.strike.death = snipe_read_uint(r);
 }
 
 static int read_fields(struct snipe_reader *r, struct snipe_datagram *d)
--- a/libs/wire/datagram.h
+++ b/libs/wire/datagram.h
@@ -38,6 +38,7 @@
 		struct {
 			uint64_t fingerprints[SNIPE_STRIKES_PER_DATAGRAM];
 			int count;
+			uint64_t death; /* identifies the death; see core/crash_guard.h */
 		} strike;
 	} u;
 };
