--- a/libs/platform/http_store.c
+++ b/libs/platform/http_store.c
@@ -10,7 +10,6 @@
 #include <string.h>
 #include <sys/queue.h>
 
-
 enum call_state { CALL_STARTING, CALL_RUNNING, CALL_DONE };
 
 /*
