--- a/tests/config/examples_test.cc
+++ b/tests/config/examples_test.cc
@@ -49,10 +49,12 @@
 	for (int i = 0; i < tables.route_count; i++) {
 		const struct snipe_route &r = tables.routes[i];
 
-		if (!strcmp(r.method, "GET"))
+		if (!strcmp(r.method, "GET")) {
 			EXPECT_LE(r.importance, SNIPE_IMPORTANCE_NORMAL) << r.name;
-		if (!r.idempotent)
+		}
+		if (!r.idempotent) {
 			EXPECT_GE(r.importance, SNIPE_IMPORTANCE_HIGH) << r.name;
+		}
 	}
 	while (const char *name = g_dir_read_name(entries)) {
 		if (!g_str_has_prefix(name, "node-"))
--- a/tests/platform/stand_in.h
+++ b/tests/platform/stand_in.h
@@ -14,14 +14,15 @@
 #include <string>
 #include <vector>
 
-// The directory of the running test program, where the stand-ins are built too.
-inline std::string TestDirectory()
+// The top of the build tree, where all programs are; the running test is one level below.
+inline std::string ProgramDirectory()
 {
 	char path[PATH_MAX];
 	ssize_t n = readlink("/proc/self/exe", path, sizeof(path) - 1);
 
 	path[n > 0 ? n : 0] = '\0';
-	return std::string(path).substr(0, std::string(path).rfind('/'));
+	std::string dir = std::string(path).substr(0, std::string(path).rfind('/'));
+	return dir.substr(0, dir.rfind('/'));
 }
 
 // A child process with its standard output (and, if asked for, standard error) on a pipe.
@@ -97,7 +98,7 @@
       private:
 	static std::vector<std::string> Command(std::vector<std::string> options)
 	{
-		options.insert(options.begin(), TestDirectory() + "/fake_platform");
+		options.insert(options.begin(), ProgramDirectory() + "/fake_platform");
 		return options;
 	}
 };
