Leave platform outage mode when a version exists that cannot be loaded

Seen with a malformed config/keys written by hand: every node kept the old keys and took the missing confirmation for a platform outage, so that withdrawn keys would have gone on. A reader now announces such a version, and nobody is in outage mode beside it. Without the check the new test finds mode OUTAGE.

--- a/libs/core/control_state.c
+++ b/libs/core/control_state.c
@@ -73,6 +73,12 @@
 	return 1;
 }
 
+void snipe_control_state_exists(struct snipe_control_state *c, enum snipe_object_id id,
+				uint64_t version)
+{
+	c->known[id] = MAX(c->known[id], version);
+}
+
 uint64_t snipe_control_state_echo(const struct snipe_control_state *c, int64_t now_us)
 {
 	return (uint64_t)now_us + c->echo_key;
@@ -147,7 +153,8 @@
 	int64_t at = confirmed_at(c);
 
 	memset(digest, 0, sizeof(*digest));
-	memcpy(digest->versions, c->versions, sizeof(digest->versions));
+	for (int i = 0; i < SNIPE_OBJECT_COUNT; i++)
+		digest->versions[i] = MAX(c->versions[i], c->known[i]);
 	digest->age_us = at == INT64_MIN ? INT64_MAX : MAX(now_us - at, 0);
 }
 
@@ -192,6 +199,10 @@
 	/* Whoever never was confirmed does not know what the newest state is. */
 	if (confirmed_at(c) == INT64_MIN)
 		return INT64_MIN;
+	for (int i = 0; i < SNIPE_OBJECT_COUNT; i++) {
+		if (c->known[i] > c->versions[i])
+			return INT64_MIN;
+	}
 	/* A peer that is confirmed, or that holds a newer version, disproves the outage. */
 	g_hash_table_iter_init(&peers, c->peers);
 	while (g_hash_table_iter_next(&peers, NULL, &value)) {
--- a/libs/core/control_state.h
+++ b/libs/core/control_state.h
@@ -50,6 +50,7 @@
 /* Fields are private. */
 struct snipe_control_state {
 	uint64_t versions[SNIPE_OBJECT_COUNT];
+	uint64_t known[SNIPE_OBJECT_COUNT];	     /* newest version that is known to exist */
 	int64_t confirmed_at_us[SNIPE_OBJECT_COUNT]; /* INT64_MIN: never */
 	GHashTable *peers;   /* node id -> last digest, when and from which failure domain */
 	GHashTable *domains; /* failure domain -> when a live member was last seen */
@@ -74,6 +75,13 @@
 int snipe_control_state_object(struct snipe_control_state *c, enum snipe_object_id id,
 			       uint64_t version);
 
+/*
+ * A version exists that cannot be loaded here. Digests announce it and nobody is in outage mode
+ * beside it: the platform takes writes, and a key may be withdrawn in that version.
+ */
+void snipe_control_state_exists(struct snipe_control_state *c, enum snipe_object_id id,
+				uint64_t version);
+
 /* Returns the echo for a SUBSCRIBE that is sent now. */
 uint64_t snipe_control_state_echo(const struct snipe_control_state *c, int64_t now_us);
 
--- a/libs/node/control_objects.c
+++ b/libs/node/control_objects.c
@@ -119,6 +119,7 @@
 		if (snipe_control_state_read(&t->state, r->id, object->version, r->sent_us))
 			snipe_control_push(t);
 	} else {
+		snipe_control_state_exists(&t->state, r->id, object->version);
 		r->next_us = now + SNIPE_READ_RETRY_US;
 	}
 	if (now - t->last_push_us >= SNIPE_RELAY_US)
--- a/tests/core/control_state_test.cc
+++ b/tests/core/control_state_test.cc
@@ -200,3 +200,21 @@
 	for (int n : children)
 		EXPECT_LE(n, SNIPE_TREE_FANOUT);
 }
+
+// A version that exists but cannot be loaded shows that the platform takes writes.
+TEST_F(ControlState, NoOutageModeBesideAVersionThatCannotBeLoaded)
+{
+	struct snipe_digest own;
+
+	add(make_member("a2", "a"));
+	read(5, S);
+	digest(10 * S, "a2", "a", 5, 8 * S, 10 * S);
+	ASSERT_EQ(mode(10 * S), SNIPE_CONTROL_OUTAGE);
+	snipe_control_state_exists(&c, SNIPE_OBJECT_KEYS, 6);
+	EXPECT_EQ(mode(10 * S), SNIPE_CONTROL_UNCONFIRMED);
+	snipe_control_state_own_digest(&c, 10 * S, &own);
+	EXPECT_EQ(own.versions[SNIPE_OBJECT_KEYS], 6u);
+	EXPECT_EQ(own.versions[SNIPE_OBJECT_TABLES], 5u);
+	EXPECT_EQ(snipe_control_state_object(&c, SNIPE_OBJECT_KEYS, 6), 1);
+	EXPECT_EQ(mode(10 * S), SNIPE_CONTROL_OUTAGE);
+}
