--- /dev/null
+++ b/scripts/sanitize.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs the unit and state tests under the address and undefined-behaviour sanitizers.
+#   scripts/sanitize.sh [ctest options]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${ASAN_BUILD_DIR:-build-asan}
+jobs=$(nproc)
+
+cmake -S . -B "$build" -G Ninja -DSNIPE_SANITIZE=address,undefined >/dev/null
+cmake --build "$build" -j "$jobs"
+ctest --test-dir "$build" -j $((jobs / 2)) -E '^(process_|model_|fuzz|include_rules)' \
+	--output-on-failure "$@"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,6 +9,7 @@
 
 scripts/lint.sh "$build"
 cmake --build "$build" -j "$jobs"
+scripts/sanitize.sh
 
 known_red=$(sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 if [ -n "$known_red" ]; then
--- /dev/null
+++ b/tests/fuzz/fuzz.cmake
@@ -0,0 +1,12 @@
+# Coverage-guided fuzzing; needs clang (scripts/fuzz.sh). Each <name>_fuzz.cc is one program.
+file(GLOB fuzz_sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_LIST_DIR}/*_fuzz.cc)
+foreach(source ${fuzz_sources})
+  get_filename_component(name ${source} NAME_WE)
+  add_executable(${name} ${source})
+  target_compile_options(${name} PRIVATE -fsanitize=fuzzer)
+  target_link_options(${name} PRIVATE -fsanitize=fuzzer)
+  target_link_libraries(${name} PRIVATE snipe_wire snipe_config)
+  list(APPEND fuzz_programs ${name})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/fuzz)
+endforeach()
+add_custom_target(fuzz_targets DEPENDS ${fuzz_programs})
