Count inner calls of a call that is sent again as retries

A trial with whole processes saw 3 or 4 runs beyond the first ones with max_retries = 2: a call that was sent again ran its inner calls again, and those were not counted. A call now carries whether an earlier attempt of it, or of a call above it, may have run; its inner calls then take a token of the ledger as repeated ones do.

--- a/libs/node/backend_call.c
+++ b/libs/node/backend_call.c
@@ -288,6 +288,7 @@
 	c->depth = m->depth;
 	c->root_address = m->root_address;
 	c->root_request = m->root_request;
+	c->is_repetition = m->attempt > 0;
 }
 
 static struct snipe_backend_call *new_call(struct snipe_backend_task *t,
--- a/libs/node/backend_task.h
+++ b/libs/node/backend_task.h
@@ -39,6 +39,7 @@
 	int depth;
 	struct snipe_address root_address;
 	uint64_t root_request;
+	int is_repetition; /* inner calls may have run before, for an earlier attempt */
 };
 
 /*
--- a/libs/node/caller_attempt.c
+++ b/libs/node/caller_attempt.c
@@ -24,7 +24,9 @@
 	m->idempotent = route->idempotent;
 	m->timeout_us = call->deadline_us - now;
 	m->depth = call->depth;
-	m->attempt = call->attempt;
+	/* Each run beyond the first of any call in the chain takes a token, also those below a
+	 * call that is sent again. */
+	m->attempt = call->is_repetition || call->unknown_reason != SNIPE_REASON_NONE;
 	m->root_address = call->root_address;
 	m->root_request = call->root_request;
 	m->fingerprint = call->fingerprint;
--- a/libs/node/caller_call.c
+++ b/libs/node/caller_call.c
@@ -257,7 +257,7 @@
 	snipe_retry_budget_on_call(&call->route_state->budget);
 	call->route_state->calls++;
 	watch_caller(call);
-	if (call->needs_entry_token && t->has_control)
+	if (call->is_repetition && t->has_control)
 		snipe_call_ask_entry(call);
 	else if (call->identifier)
 		snipe_call_ask_claim(call);
--- a/libs/node/caller_request.c
+++ b/libs/node/caller_request.c
@@ -111,7 +111,7 @@
 	call->importance = (enum snipe_importance)c.importance;
 	call->root_address = c.root_address;
 	call->root_request = c.root_request;
-	call->needs_entry_token = repeated;
+	call->is_repetition = repeated || c.is_repetition;
 	if (c.deadline_us < call->deadline_us)
 		call->deadline_us = c.deadline_us;
 	memcpy(call->workspace, c.workspace, sizeof(call->workspace));
--- a/libs/node/caller_state.h
+++ b/libs/node/caller_state.h
@@ -72,7 +72,7 @@
 	const char *identifier; /* NULL: none */
 	int has_identifier;	/* the header came, well-formed or not */
 	int is_inner;
-	int needs_entry_token; /* a repeated inner call takes a ledger token first */
+	int is_repetition; /* an inner call that may have run before: takes a ledger token */
 	enum snipe_importance importance;
 	int64_t started_us;
 	int64_t deadline_us;
--- a/libs/wire/message.h
+++ b/libs/wire/message.h
@@ -82,9 +82,10 @@
 	char workspace[SNIPE_NAME_SIZE]; /* empty: open route without a key */
 	int importance;
 	int idempotent;
-	int64_t timeout_us;		   /* time left when sent */
-	int depth;			   /* 1 for a client's call */
-	int attempt;			   /* 0 for the first */
+	int64_t timeout_us; /* time left when sent */
+	int depth;	    /* 1 for a client's call */
+	int attempt; /* above 0 if an earlier attempt of this call, or of a call above it, may
+			have run: its inner calls are repetitions */
 	struct snipe_address root_address; /* peer listener of the first node */
 	uint64_t root_request;		   /* request id at the first node */
 	uint64_t fingerprint;
