--- a/tests/node/control_task_test.cc
+++ b/tests/node/control_task_test.cc
@@ -34,6 +34,7 @@
 	bool is_put, is_watch;
 	snipe_object_cb cb;
 	void *arg;
+	int handle = 0;
 };
 
 // Operations are answered from timers; a watch looks again every 5 ms.
@@ -47,9 +48,8 @@
 
 	static void on_timer(evutil_socket_t, short, void *arg)
 	{
-		auto *entry = (std::pair<MemoryStore *, int> *)arg;
-		MemoryStore *s = entry->first;
-		Operation *op = s->running[entry->second];
+		auto *op = (Operation *)arg;
+		MemoryStore *s = op->store;
 		auto &o = s->objects[op->name];
 		int err = 0;
 
@@ -74,8 +74,7 @@
 		struct snipe_object object = {o.first, value.data(), value.size()};
 		snipe_object_cb cb = op->cb;
 		void *cb_arg = op->arg;
-		s->end(entry->second);
-		delete entry;
+		s->end(op->handle);
 		cb(cb_arg, err, &object);
 	}
 	void end(int handle)
@@ -90,8 +89,8 @@
 		int handle = next++;
 
 		op->store = this;
-		op->timer = event_new(base, -1, 0, on_timer,
-				      new std::pair<MemoryStore *, int>(this, handle));
+		op->handle = handle;
+		op->timer = event_new(base, -1, 0, on_timer, op);
 		event_add(op->timer, &tv);
 		running[handle] = op;
 		return handle;
