--- a/libs/core/limiter.c
+++ b/libs/core/limiter.c
@@ -7,6 +7,7 @@
 #define LATENCY_FACTOR 2.0  /* latency above this multiple of the minimum is congestion */
 #define SEVERE_FACTOR 4.0   /* and above this one, a probe finds the cause at once */
 #define OUTLIER_FACTOR 8.0  /* a sample counts at most as this multiple of the minimum */
+#define MINIMUM_WEIGHT 0.25 /* a minimum that is too low by chance keeps the limit too low */
 #define FASTER_FACTOR 0.6   /* latency below this multiple of the minimum: a probe is due */
 #define INCREASE_DIVISOR 32 /* slots / 32 for each period */
 
@@ -21,11 +22,13 @@
 
 #define PROBE_DIVISOR 4
 #define PROBE_SAMPLES 64
+#define PROBE_FEW_SAMPLES 32
 #define PROBE_INTERVAL_US 10000000
 #define PROBE_INTERVAL_PERIODS 100 /* keeps the share of probing small on slow servers */
 #define PROBE_SUSPICION_US 50000
 #define PROBE_SUSPICION_PERIODS 25
-#define PROBE_GIVE_UP_US 3000000 /* for lack of demand */
+#define FIRST_PROBE_US 3600000000 /* before the start: the first probe is due at once */
+#define PROBE_GIVE_UP_US 3000000  /* for lack of demand */
 #define PROBE_GIVE_UP_PERIODS 8
 
 /* The first calls to end after a jump of the limit are the short ones. After a probe, so many
@@ -67,8 +70,8 @@
 	l->min_latency_us = 0;
 	l->settle = 0;
 	memset(&l->probe, 0, sizeof(l->probe));
-	l->probe.next_us = now_us;
-	l->probe.earliest_us = now_us;
+	l->probe.last_us = now_us - FIRST_PROBE_US;
+	l->probe.wanted = 1;
 	start_period(l, now_us);
 }
 
@@ -104,8 +107,24 @@
 	return (int64_t)l->mean_us;
 }
 
+/* The intervals follow the latency of now: after a time of very slow calls, the next probe must
+ * not wait for many times their latency. */
+static int may_probe(const struct snipe_limiter *l, int64_t now_us)
+{
+	return (double)(now_us - l->probe.last_us) >=
+	       max_double(PROBE_SUSPICION_US, PROBE_SUSPICION_PERIODS * l->latency_us);
+}
+
+static int is_probe_due(const struct snipe_limiter *l, int64_t now_us)
+{
+	if (l->probe.wanted)
+		return may_probe(l, now_us);
+	return (double)(now_us - l->probe.last_us) >=
+	       max_double(PROBE_INTERVAL_US, PROBE_INTERVAL_PERIODS * l->latency_us);
+}
+
 /*
- * Probe: the limit is lowered to a quarter for about two latencies, which shows the latency
+ * Probe: the limit is lowered to a quarter for some calls, which shows the latency
  * that does not come from concurrency.
  */
 static void start_probe(struct snipe_limiter *l, int64_t now_us)
@@ -152,30 +171,26 @@
 		if (before > LATENCY_FACTOR * mean)
 			resume *= LATENCY_FACTOR * mean / before;
 		set_limit(l, max_double(l->limit, resume));
-	} else if (mean >= before / 2) {
-		/* Fewer calls did not make them faster: the server itself became slower, and
-		 * the decreases were of no use. */
+	} else if (mean >= before / 2 || (int)l->limit == 1) {
+		/* Fewer calls did not make them faster, or a single call is slow: the server
+		 * itself became slower, and the decreases were of no use. */
 		l->min_latency_us = mean;
 		set_limit(l, max_double(resume, l->run_limit));
 	}
 	/* Otherwise even a quarter of the calls saturates the server: that limit stays. */
 
 	l->probe.phase = SNIPE_LIMITER_NOT_PROBING;
+	l->probe.last_us = now_us;
+	l->probe.wanted = 0;
 	if (mean > 0)
 		l->run_limit = l->limit;
-	else
-		mean = l->latency_us;
-	l->probe.next_us =
-		now_us + (int64_t)max_double(PROBE_INTERVAL_US, PROBE_INTERVAL_PERIODS * mean);
-	l->probe.earliest_us = now_us + (int64_t)max_double(PROBE_SUSPICION_US,
-							    PROBE_SUSPICION_PERIODS * mean);
 	start_period(l, now_us);
 	l->settle = SETTLE_LIMITS * (int)l->limit;
 }
 
 static void record_probe(struct snipe_limiter *l, int64_t now_us, int in_flight, int is_shed)
 {
-	int want = (int)clamp(2 * l->limit, PERIOD_FEW_SAMPLES, PROBE_SAMPLES);
+	int want = (int)clamp(2 * l->limit, PROBE_FEW_SAMPLES, PROBE_SAMPLES);
 
 	if (l->probe.phase == SNIPE_LIMITER_DRAINING) {
 		if (in_flight <= (int)l->limit) {
@@ -202,7 +217,7 @@
 	int suspicious = l->latency_us > SEVERE_FACTOR * l->min_latency_us ||
 			 l->limit <= l->run_limit / 2;
 
-	if (suspicious && now_us >= l->probe.earliest_us)
+	if (suspicious && may_probe(l, now_us))
 		start_probe(l, now_us);
 	else if (!suspicious)
 		decrease(l);
@@ -216,20 +231,20 @@
 	return bound > 0 && (double)latency_us > bound ? bound : (double)latency_us;
 }
 
-/* Takes the mean of a period into the long-term minimum, by its weight: the minimum of many
- * means of few samples would be far below the typical latency. */
+/* Moves the long-term minimum towards a lower mean, by the number of samples: the minimum of
+ * many means would be far below the typical latency. */
 static void update_minimum(struct snipe_limiter *l)
 {
-	double weight = clamp((double)l->period.count / PERIOD_SAMPLES, 0, 1);
+	double share = clamp((double)l->period.count / PERIOD_SAMPLES, 0, 1);
 
 	/* The server became faster by itself, so the true minimum is probably lower still. */
-	if (l->latency_us < FASTER_FACTOR * l->min_latency_us &&
-	    l->probe.next_us > l->probe.earliest_us)
-		l->probe.next_us = l->probe.earliest_us;
+	if (l->latency_us < FASTER_FACTOR * l->min_latency_us)
+		l->probe.wanted = 1;
 	if (l->min_latency_us <= 0)
 		l->min_latency_us = l->latency_us;
 	else if (l->latency_us < l->min_latency_us)
-		l->min_latency_us += (l->latency_us - l->min_latency_us) * weight;
+		l->min_latency_us +=
+			(l->latency_us - l->min_latency_us) * share * MINIMUM_WEIGHT;
 }
 
 static void update_means(struct snipe_limiter *l)
@@ -257,7 +272,7 @@
 		   (loaded && l->latency_us > LATENCY_FACTOR * l->min_latency_us)) {
 		decrease_or_probe(l, now_us);
 	} else if (in_use && l->period.count > 0) {
-		if (now_us >= l->probe.next_us) {
+		if (is_probe_due(l, now_us)) {
 			start_probe(l, now_us);
 		} else {
 			set_limit(l, l->limit + step(l));
--- a/libs/core/limiter.h
+++ b/libs/core/limiter.h
@@ -63,8 +63,8 @@
 		int64_t in_flight_sum;
 		int count;
 		int64_t give_up_us;
-		int64_t next_us;     /* next regular probe */
-		int64_t earliest_us; /* earliest probe on suspicion */
+		int64_t last_us; /* end of the last probe */
+		int wanted;	 /* sooner than at the regular interval */
 	} probe;
 };
 
--- a/tests/core/balancer_state_test.cc
+++ b/tests/core/balancer_state_test.cc
@@ -30,6 +30,7 @@
 struct Model {
 	struct snipe_balancer b;
 	std::map<int, Server> servers;
+	std::vector<int> removed; // handles
 	int64_t now = 1;
 	int connections = 20;
 
@@ -124,8 +125,6 @@
 
 void run_command(Model &m, GRand *rng, const Command &c)
 {
-	int removed = -1;
-
 	m.now += c.gap_us;
 	if (c.kind == 0 && m.servers.size() < 8) {
 		int h = snipe_balancer_add(&m.b, m.now, c.value % 3, c.value % 2);
@@ -133,9 +132,9 @@
 		RC_ASSERT(m.servers.count(h) == 0u);
 		m.servers[h];
 	} else if (c.kind == 1 && c.value % 4 == 0 && !m.servers.empty()) {
-		removed = m.pick(c.pick)->first;
-		m.servers.erase(removed);
-		snipe_balancer_remove(&m.b, removed);
+		m.removed.push_back(m.pick(c.pick)->first);
+		m.servers.erase(m.removed.back());
+		snipe_balancer_remove(&m.b, m.removed.back());
 	} else if (c.kind == 2 && !m.servers.empty()) {
 		auto it = m.pick(c.pick);
 		it->second.usable = c.value % 3 != 0;
@@ -148,10 +147,12 @@
 	} else if (!m.servers.empty()) {
 		check_record(m, c);
 	}
-	if (removed >= 0) {
+	// A call to a removed server that ends late changes nothing.
+	if (!m.removed.empty()) {
 		struct snipe_balancer_view v;
-		snipe_balancer_record(&m.b, removed, m.now, 1, SNIPE_OUTCOME_OK, nullptr);
-		RC_ASSERT(snipe_balancer_get_view(&m.b, removed, m.now, &v) ==
+		int handle = m.removed[(size_t)c.value % m.removed.size()];
+		snipe_balancer_record(&m.b, handle, m.now, 1, SNIPE_OUTCOME_FAILED, nullptr);
+		RC_ASSERT(snipe_balancer_get_view(&m.b, handle, m.now, &v) ==
 			  SNIPE_ERR_NOT_FOUND);
 	}
 
