--- a/libs/config/writer.c
+++ b/libs/config/writer.c
@@ -53,7 +53,8 @@
 					      int count)
 {
 	if (err == SNIPE_ERR_NOT_FOUND)
-		return w->base_version == 0 ? SNIPE_WRITER_PUT : done(w, err, 0);
+		return w->base_version == 0 ? SNIPE_WRITER_PUT
+					    : done(w, w->lost ? SNIPE_ERR_UNKNOWN : err, 0);
 	if (err < 0 || version < w->base_version)
 		return SNIPE_WRITER_READ;
 	if (find(history, count, w->write_id) >= 0)
