--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -12,8 +12,9 @@
  *
  * Records go to files (--run-log, --byte-log) when they have to outlive a crash.
  *
- * The request header Fake-Request-Id names a request; inner call I of it has the name ID/I.
- * The request header Fake-Plan says what to do, as JSON:
+ * The request header Fake-Request-Id names a request; inner call I of it has the name ID/I and
+ * carries the number of the run that makes it in Fake-Parent-Run, which is recorded as
+ * "parent". The request header Fake-Plan says what to do, as JSON:
  *   {"service_ms":N, "size":N, "parallel":true, "retries":N,
  *    "inner":[{"method":"GET","path":"/p","plan":{...}}]}
  * "retries" is the number of times that this server sends a failed inner call again.
@@ -57,6 +58,7 @@
 	json_t *plan;
 	char id[128];
 	char context[64];
+	char number[32]; /* names this run among those of all backend servers */
 	struct event *timer;
 	struct inner_call *inner;
 	int inner_count, inner_next, inner_open, inner_failed;
@@ -163,6 +165,8 @@
 				    json_string(method_name(evhttp_request_get_command(req))));
 		json_object_set_new(line, "path", json_string(evhttp_request_get_uri(req)));
 		json_object_set_new(line, "body_hash", json_string(hash));
+		json_object_set_new(line, "parent",
+				    json_string(header(req, "Fake-Parent-Run")));
 		json_object_set_new(line, "workspace",
 				    json_string(header(req, "Snipe-Workspace")));
 		json_object_set_new(line, "identifier",
@@ -403,6 +407,7 @@
 	evhttp_add_header(out, "Host", "node");
 	snprintf(id, sizeof(id), "%s/%d", r->id, call->index);
 	evhttp_add_header(out, "Fake-Request-Id", id);
+	evhttp_add_header(out, "Fake-Parent-Run", r->number);
 	if (r->context[0] && !g.sw.drop_context)
 		evhttp_add_header(out, "Snipe-Context", r->context);
 	if (identifier)
@@ -488,6 +493,7 @@
 
 static struct run *make_run(struct evhttp_request *req, struct connection *c)
 {
+	static long runs;
 	struct run *r = g_new0(struct run, 1);
 	const char *plan = header(req, "Fake-Plan"), *timeout = header(req, "Snipe-Timeout-Ms");
 
@@ -497,6 +503,7 @@
 	r->plan = *plan ? json_loads(plan, 0, NULL) : json_incref(g.sw.plan);
 	if (!r->plan)
 		r->plan = json_object();
+	snprintf(r->number, sizeof(r->number), "%d-%ld", (int)getpid(), ++runs);
 	snprintf(r->id, sizeof(r->id), "%s", header(req, "Fake-Request-Id"));
 	snprintf(r->context, sizeof(r->context), "%s", header(req, "Snipe-Context"));
 	if (*timeout)
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -27,6 +27,7 @@
 struct RunRecord {
 	std::string event; /* start, end or cancel */
 	std::string id, method, path, workspace, identifier, body_hash;
+	std::string parent; /* run that made this inner call */
 	long long time_us = 0;
 	int node = 0; /* index of the node beside the backend server */
 };
