--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -6,7 +6,8 @@
 build=${ASAN_BUILD_DIR:-build-asan}
 jobs=$(nproc)
 
-cmake -S . -B "$build" -G Ninja -DSNIPE_SANITIZE=address,undefined >/dev/null
+cmake -S . -B "$build" -G Ninja -DSNIPE_SANITIZE=address,undefined \
+	-DSNIPE_PROCESS_TESTS=OFF -DSNIPE_BENCH=OFF -DCMAKE_BUILD_TYPE=Debug >/dev/null
 cmake --build "$build" -j "$jobs"
 ctest --test-dir "$build" -j $((jobs / 2)) -E '^(process_|model_|fuzz|include_rules)' \
 	--output-on-failure "$@"
