Run one more call while all running calls wait for inner calls

A trial with whole processes and a call graph that returns to its first pool saw 8 s timeouts: with a limit of 1 or 2 every running call waited for an inner call that was queued behind it. While all running calls of a backend server have inner calls that have not ended, one more may run, up to the pool's slots.

--- a/libs/node/backend_task.c
+++ b/libs/node/backend_task.c
@@ -40,7 +40,12 @@
 int snipe_backend_task_limit(const struct snipe_backend_task *t)
 {
 	int limit = snipe_limiter_limit(&t->limiter);
+	int running = snipe_admission_running(&t->admission);
 
+	/* Calls that wait for inner calls may wait for one in this queue. While all do, one
+	 * more runs, or all of them would wait until their deadlines. */
+	if (running >= limit && t->contexts.blocked >= running && running < t->slots)
+		limit = running + 1;
 	return limit < t->connections ? limit : t->connections;
 }
 
@@ -304,7 +309,15 @@
 			       uint64_t fingerprint, struct snipe_call_context *context,
 			       int *repeated)
 {
-	return snipe_context_table_find(&t->contexts, token, fingerprint, context, repeated);
+	int ret = snipe_context_table_find(&t->contexts, token, fingerprint, context, repeated);
+
+	snipe_backend_call_start_waiting(t);
+	return ret;
+}
+
+void snipe_backend_task_inner_done(struct snipe_backend_task *t, const uint8_t token[16])
+{
+	snipe_context_table_inner_done(&t->contexts, token);
 }
 
 int snipe_backend_task_in_flight(const struct snipe_backend_task *t)
--- a/libs/node/backend_task.h
+++ b/libs/node/backend_task.h
@@ -39,6 +39,7 @@
 	int depth;
 	struct snipe_address root_address;
 	uint64_t root_request;
+	uint8_t token[16];
 	int is_repetition; /* inner calls may have run before, for an earlier attempt */
 };
 
@@ -51,6 +52,10 @@
 			       uint64_t fingerprint, struct snipe_call_context *context,
 			       int *repeated);
 
+/* An inner call that snipe_backend_task_context resolved has ended; token is that of its
+ * context. */
+void snipe_backend_task_inner_done(struct snipe_backend_task *t, const uint8_t token[16]);
+
 /* Handles an announcement of the backend server (JSON). Returns 0 or an error with its remedy.
  */
 int snipe_backend_task_announce(struct snipe_backend_task *t, const char *json, size_t len,
--- a/libs/node/call_context.c
+++ b/libs/node/call_context.c
@@ -23,6 +23,7 @@
 {
 	t->entries = g_hash_table_new(token_hash, token_equal);
 	t->random_left = 0;
+	t->blocked = 0;
 }
 
 void snipe_context_table_finish(struct snipe_context_table *t)
@@ -48,6 +49,8 @@
 {
 	make_token(t, entry->token);
 	entry->inner = NULL;
+	entry->inner_running = 0;
+	memcpy(entry->context.token, entry->token, SNIPE_CONTEXT_BYTES);
 	g_hash_table_insert(t->entries, entry->token, entry);
 	snipe_hex(entry->token, SNIPE_CONTEXT_BYTES, text);
 }
@@ -56,6 +59,7 @@
 				struct snipe_context_entry *entry)
 {
 	g_hash_table_remove(t->entries, entry->token);
+	t->blocked -= entry->inner_running > 0;
 	if (entry->inner)
 		g_hash_table_destroy(entry->inner);
 	entry->inner = NULL;
@@ -104,5 +108,15 @@
 		return SNIPE_ERR_NOT_FOUND;
 	*context = e->context;
 	*repeated = mark_inner(e, fingerprint);
+	t->blocked += e->inner_running++ == 0;
 	return 0;
 }
+
+void snipe_context_table_inner_done(struct snipe_context_table *t,
+				    const uint8_t token[SNIPE_CONTEXT_BYTES])
+{
+	struct snipe_context_entry *e = g_hash_table_lookup(t->entries, token);
+
+	if (e)
+		t->blocked -= --e->inner_running == 0;
+}
--- a/libs/node/call_context.h
+++ b/libs/node/call_context.h
@@ -20,12 +20,14 @@
 struct snipe_context_entry {
 	uint8_t token[SNIPE_CONTEXT_BYTES];
 	struct snipe_call_context context;
+	int inner_running; /* inner calls that have not ended */
 	GHashTable *inner; /* fingerprints of inner calls; NULL while there are none */
 };
 
 /* Fields are private. */
 struct snipe_context_table {
 	GHashTable *entries; /* token -> struct snipe_context_entry, not owned */
+	int blocked;	     /* contexts with inner calls that have not ended */
 	uint8_t random[64 * SNIPE_CONTEXT_BYTES];
 	size_t random_left;
 };
@@ -47,6 +49,10 @@
 			     uint64_t fingerprint, struct snipe_call_context *context,
 			     int *repeated);
 
+/* An inner call that was found ended; the context may be gone by now. */
+void snipe_context_table_inner_done(struct snipe_context_table *t,
+				    const uint8_t token[SNIPE_CONTEXT_BYTES]);
+
 #ifdef __cplusplus
 }
 #endif
--- a/libs/node/caller_call.c
+++ b/libs/node/caller_call.c
@@ -32,6 +32,8 @@
 	if (call->server >= 0)
 		snipe_balancer_record(&call->pool->balancer, call->server, now,
 				      now - call->chosen_us, SNIPE_OUTCOME_CANCELLED, NULL);
+	if (call->is_inner)
+		snipe_backend_task_inner_done(t->backend, call->context_token);
 	if (call->depth == 1)
 		snipe_retry_ledger_close(&t->ledger, call->id);
 	event_del(&call->timer);
--- a/libs/node/caller_request.c
+++ b/libs/node/caller_request.c
@@ -104,9 +104,10 @@
 	    snipe_backend_task_context(call->task->backend, token, call->fingerprint, &c,
 				       &repeated))
 		return SNIPE_REASON_CONTEXT_MISSING;
+	call->is_inner = 1;
+	memcpy(call->context_token, c.token, sizeof(call->context_token));
 	if (c.depth >= SNIPE_MAX_DEPTH)
 		return SNIPE_REASON_DEPTH_EXCEEDED;
-	call->is_inner = 1;
 	call->depth = c.depth + 1;
 	call->importance = (enum snipe_importance)c.importance;
 	call->root_address = c.root_address;
--- a/libs/node/caller_state.h
+++ b/libs/node/caller_state.h
@@ -72,6 +72,7 @@
 	const char *identifier; /* NULL: none */
 	int has_identifier;	/* the header came, well-formed or not */
 	int is_inner;
+	uint8_t context_token[16]; /* of an inner call */
 	int is_repetition; /* an inner call that may have run before: takes a ledger token */
 	enum snipe_importance importance;
 	int64_t started_us;
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -581,6 +581,48 @@
 	EXPECT_TRUE(Idle());
 }
 
+/* Guards against calls that wait for inner calls behind themselves until their deadlines. */
+TEST_F(CallPath, InnerCallsRunWhenAllRunningCallsWaitForThem)
+{
+	std::vector<std::unique_ptr<Caller>> outer, within;
+
+	server.handler = [&](evhttp_request *req) {
+		if (std::string(evhttp_request_get_uri(req)) == "/open")
+			Backend::Answer(req, "inner");
+		else
+			server.kept.push_back(req);
+	};
+	for (int i = 0; i < 4; i++) {
+		outer.push_back(std::make_unique<Caller>(
+			loop, *snipe_caller_task_address(entry.caller)));
+		outer.back()->Send(Request("GET /read/1", WithKey()));
+	}
+	ASSERT_TRUE(loop.Until([&] { return server.kept.size() == 4; })) << "limit is 4";
+	for (evhttp_request *req : server.kept) {
+		within.push_back(std::make_unique<Caller>(
+			loop, *snipe_caller_task_local_address(side.caller)));
+		within.back()->Send(Request(
+			"GET /open",
+			"Snipe-Context: " + Backend::Header(req, "Snipe-Context") + "\r\n"));
+	}
+	/* Each outer call ends after its inner call, which lets the next one run. */
+	size_t ended = 0;
+	std::vector<bool> answered(4, false);
+	EXPECT_TRUE(loop.Until([&] {
+		for (size_t i = 0; i < 4; i++) {
+			if (answered[i] || !within[i]->HasResponse())
+				continue;
+			answered[i] = true;
+			ended += Has(within[i]->Receive(), "inner");
+			Backend::Answer(server.kept[i], "outer");
+		}
+		return ended == 4;
+	}));
+	for (auto &c : outer)
+		EXPECT_TRUE(Has(c->Receive(), "outer"));
+	EXPECT_TRUE(Idle());
+}
+
 /* Policy "none" is what the others are compared with: no bound on retries. */
 TEST_F(CallPath, PolicyNoneHasNoLedger)
 {
