--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -159,7 +159,7 @@
 key_id=$(sed -n 's/.*id=\([^ ]*\).*/\1/p' "$work/key" | head -1)
 echo "key $key_id issued (the key itself is shown once, here not at all)"
 
-read -r read_method read_path < <(route_path tips true)
+read -r read_method read_path < <(route_path bookings true)
 read -r book_method book_path < <(route_path bookings false)
 
 say "Requests; the first ones wait until the tables and the key are known everywhere"
@@ -171,10 +171,17 @@
 	done
 	cat "$work/answer"
 done
-request "${callers[0]}" GET /.snipescale/identifier >/dev/null
-booking=$identifier
 echo "A booking, sent twice with the same identifier through two nodes, runs once:"
-request "${callers[0]}" "$book_method" "$book_path" "Snipe-Key: $key" "Idempotency-Key: $booking"
+# The owners of identifiers are assigned about 3 s after the first node started.
+for _ in $(seq 200); do
+	request "${callers[0]}" GET /.snipescale/identifier >/dev/null
+	booking=$identifier
+	request "${callers[0]}" "$book_method" "$book_path" "Snipe-Key: $key" \
+		"Idempotency-Key: $booking" >"$work/answer"
+	case $status in 200*) break ;; esac
+	sleep 0.1
+done
+cat "$work/answer"
 request "${callers[3]}" "$book_method" "$book_path" "Snipe-Key: $key" "Idempotency-Key: $booking"
 echo "Without a key, with another workspace's name, on an unknown route:"
 request "${callers[1]}" "$read_method" "$read_path" "Snipe-Key: none"
