Tell the pool when a request with strikes succeeded

Cause: a success cleared strikes only at the node where it happened, so that a request that is always in flight was suspected after two deaths minutes apart. Ruled out: a longer window, since the requests had succeeded in between.

--- a/libs/node/backend_state.h
+++ b/libs/node/backend_state.h
@@ -103,6 +103,8 @@
 					   const char *pool);
 /* Tests with a new connection whether the backend server still lives. */
 void snipe_backend_task_probe(struct snipe_backend_task *t);
+/* Tells the pool's other nodes that a request with strikes succeeded. */
+void snipe_backend_task_post_cleared(struct snipe_backend_task *t, uint64_t fingerprint);
 /* The backend server refused a connection: strikes for all running calls, no new work until
  * it announces itself again. */
 void snipe_backend_task_died(struct snipe_backend_task *t);
--- a/libs/node/backend_task.c
+++ b/libs/node/backend_task.c
@@ -116,6 +116,21 @@
 	snipe_backend_call_start_waiting(t);
 }
 
+/* Strikes or their end, from another node of the pool. */
+static void take_strikes(struct snipe_backend_task *t, const struct snipe_task_message *msg)
+{
+	uint64_t death = msg->u.strikes.death;
+
+	for (int i = 0; i < msg->u.strikes.count; i++) {
+		uint64_t fingerprint = msg->u.strikes.fingerprints[i];
+
+		if (death)
+			snipe_crash_guard_strike(&t->guard, snipe_now_us(), fingerprint, death);
+		else
+			snipe_crash_guard_success(&t->guard, fingerprint);
+	}
+}
+
 static void handle_message(void *owner, const struct snipe_task_message *msg)
 {
 	struct snipe_backend_task *t = owner;
@@ -128,10 +143,7 @@
 		post_state(t);
 		break;
 	case SNIPE_TASK_STRIKES:
-		for (int i = 0; i < msg->u.strikes.count; i++)
-			snipe_crash_guard_strike(&t->guard, snipe_now_us(),
-						 msg->u.strikes.fingerprints[i],
-						 msg->u.strikes.death);
+		take_strikes(t, msg);
 		break;
 	case SNIPE_TASK_DRAIN:
 		t->is_draining = 1;
@@ -170,6 +182,19 @@
 	post_strikes(t, &m);
 }
 
+/*
+ * A request that runs often is in flight whenever a server dies. Without this message the nodes
+ * where it did not succeed meanwhile took two deaths minutes apart for its doing.
+ */
+void snipe_backend_task_post_cleared(struct snipe_backend_task *t, uint64_t fingerprint)
+{
+	struct snipe_task_message m = {.type = SNIPE_TASK_STRIKES};
+
+	m.u.strikes.fingerprints[0] = fingerprint;
+	m.u.strikes.count = 1;
+	post_strikes(t, &m);
+}
+
 /* Calls whose connections end one after another belong to the same death. */
 static void begin_death(struct snipe_backend_task *t)
 {
--- a/libs/node/task_messages.h
+++ b/libs/node/task_messages.h
@@ -54,7 +54,9 @@
 		struct {
 			uint64_t fingerprints[SNIPE_TASK_STRIKES_MAX];
 			int count;
-			uint64_t death; /* identifies the death; see core/crash_guard.h */
+			/* identifies the death; 0: a request succeeded and its strikes are
+			 * cleared */
+			uint64_t death;
 		} strikes;
 		struct {
 			char workspace[SNIPE_NAME_SIZE];
--- a/libs/wire/datagram.h
+++ b/libs/wire/datagram.h
@@ -38,7 +38,9 @@
 		struct {
 			uint64_t fingerprints[SNIPE_STRIKES_PER_DATAGRAM];
 			int count;
-			uint64_t death; /* identifies the death; see core/crash_guard.h */
+			/* identifies the death; 0: a request succeeded and its strikes are
+			 * cleared */
+			uint64_t death;
 		} strike;
 	} u;
 };
