Run a repeated non-idempotent inner call once

Cause: an inner call that a backend server sends again took a token of the ledger and ran a second time, also on non-idempotent routes. It is now rejected with the outcome unknown unless it carries an identifier. Without the change the new test sees two runs; with it one.

--- a/libs/node/caller_call.c
+++ b/libs/node/caller_call.c
@@ -259,7 +259,10 @@
 	snipe_retry_budget_on_call(&call->route_state->budget);
 	call->route_state->calls++;
 	watch_caller(call);
-	if (call->is_repetition && t->has_control)
+	/* An earlier run of it may have had its effect; only an identifier tells them apart. */
+	if (call->is_repetition && !call->route->idempotent && !call->identifier)
+		snipe_call_reject(call, SNIPE_REASON_DUPLICATE_UNKNOWN);
+	else if (call->is_repetition && t->has_control)
 		snipe_call_ask_entry(call);
 	else if (call->identifier)
 		snipe_call_ask_claim(call);
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -35,6 +35,18 @@
 max_retries = 2
 retry_percent = 100
 
+[[route]]
+name = "deep-charge"
+method = "POST"
+path = "/deep-charge"
+pool = "b"
+importance = "critical"
+open = false
+idempotent = false
+timeout_ms = 5000
+max_retries = 2
+retry_percent = 100
+
 [[route]]
 name = "open"
 method = "GET"
@@ -555,6 +567,28 @@
 	EXPECT_TRUE(Idle());
 }
 
+/* Guards against a second run of a charge that a backend server repeats by itself. */
+TEST_F(CallPath, RepeatedNonIdempotentInnerCallRunsOnce)
+{
+	entry.Announce(inner, "b");
+	members.push_back(Member(entry, "entry", "b"));
+	Publish();
+	server.handler = [&](evhttp_request *req) { server.kept.push_back(req); };
+	Caller outer(loop, *snipe_caller_task_address(entry.caller));
+	outer.Send(Request("GET /read/1", WithKey()));
+	ASSERT_TRUE(Seen(1));
+	std::string context =
+		"Snipe-Context: " + Backend::Header(server.kept[0], "Snipe-Context") + "\r\n";
+	EXPECT_TRUE(Has(CallLocal("POST /deep-charge", context), "200 OK"));
+	std::string again = CallLocal("POST /deep-charge", context);
+	EXPECT_TRUE(Has(again, "duplicate_unknown")) << again;
+	EXPECT_TRUE(Has(again, "Snipe-Outcome: unknown")) << again;
+	EXPECT_EQ(inner.seen.size(), 1u);
+	Backend::Answer(server.kept[0], "outer");
+	outer.Receive();
+	EXPECT_TRUE(Idle());
+}
+
 /* Guards against runs that multiply below a call that is sent again. */
 TEST_F(CallPath, InnerCallsOfASecondAttemptTakeTokens)
 {
