--- a/programs/snipescale/commit.c
+++ b/programs/snipescale/commit.c
@@ -103,6 +103,14 @@
 	return w.result;
 }
 
+static int secret_failed(GError *error)
+{
+	int status = fail(EXIT_USAGE, SNIPE_ERR_IO, "%s; check --secret-file", error->message);
+
+	g_error_free(error);
+	return status;
+}
+
 int load_secret(void)
 {
 	GError *error = NULL;
@@ -114,8 +122,7 @@
 			    "--node needs the fleet_secret; give a file that holds it with "
 			    "--secret-file FILE");
 	if (!g_file_get_contents(options.secret_file, &secret, NULL, &error))
-		return fail(EXIT_USAGE, SNIPE_ERR_IO, "%s; check --secret-file",
-			    error->message);
+		return secret_failed(error);
 	g_strchomp(secret);
 	return 0;
 }
--- a/programs/snipescale/key_commands.c
+++ b/programs/snipescale/key_commands.c
@@ -136,7 +136,7 @@
 {
 	struct issued issued;
 	uint64_t version;
-	char *value;
+	char *value = NULL;
 	int status;
 
 	if (!options.workspace)
@@ -149,28 +149,36 @@
 		status = check_workspace();
 	if (!status)
 		status = change_keys(issue, &issued, &version, &value);
-	if (status)
+	if (status) {
+		g_free(value);
 		return status;
+	}
 	/* The only time that the key itself is shown. */
 	printf(options.json
 		       ? "{\"id\":\"%s\",\"workspace\":\"%s\",\"version\":%" G_GUINT64_FORMAT
 			 ",\"key\":\"%s\"}\n"
 		       : "id=%s workspace=%s version=%" G_GUINT64_FORMAT "\nkey=%s\n",
 	       issued.id, options.workspace, version, issued.key);
-	return hand_over("keys", version, value);
+	status = hand_over("keys", version, value);
+	g_free(value);
+	return status;
 }
 
 int command_key_list(void)
 {
 	struct snipe_keys keys;
 	uint64_t version;
-	json_t *list = json_array();
+	json_t *list;
 	int status = platform_open();
 
+	snipe_keys_init(&keys);
 	if (!status)
 		status = load_keys(&keys, &version);
-	if (status)
+	if (status) {
+		snipe_keys_finish(&keys);
 		return status;
+	}
+	list = json_array();
 	for (int i = 0; i < keys.count; i++) {
 		const struct snipe_key *k = &keys.entries[i];
 
@@ -188,6 +196,7 @@
 		free(text);
 	}
 	json_decref(list);
+	snipe_keys_finish(&keys);
 	return EXIT_OK;
 }
 
@@ -203,7 +212,7 @@
 int command_key_withdraw(void)
 {
 	uint64_t version;
-	char *value;
+	char *value = NULL;
 	int status;
 
 	if (!options.id)
@@ -213,10 +222,14 @@
 		status = platform_open();
 	if (!status)
 		status = change_keys(withdraw, NULL, &version, &value);
-	if (status)
+	if (status) {
+		g_free(value);
 		return status;
+	}
 	printf(options.json ? "{\"id\":\"%s\",\"version\":%" G_GUINT64_FORMAT "}\n"
 			    : "id=%s withdrawn version=%" G_GUINT64_FORMAT "\n",
 	       options.id, version);
-	return hand_over("keys", version, value);
+	status = hand_over("keys", version, value);
+	g_free(value);
+	return status;
 }
--- a/programs/snipescale/tables_commands.c
+++ b/programs/snipescale/tables_commands.c
@@ -18,13 +18,33 @@
 	struct snipe_tables_document doc;
 };
 
+static void finish_files(struct files *f)
+{
+	g_free(f->routes);
+	g_free(f->pools);
+	snipe_tables_finish(&f->tables);
+}
+
+static void finish_current(struct current *c)
+{
+	snipe_tables_document_finish(&c->doc);
+}
+
+static int file_failed(GError *error)
+{
+	int status = fail(EXIT_USAGE, SNIPE_ERR_IO, "%s; check the path", error->message);
+
+	g_error_free(error);
+	return status;
+}
+
 static int read_file(const char *path, char **text)
 {
 	GError *error = NULL;
 	gsize len;
 
 	if (!g_file_get_contents(path, text, &len, &error))
-		return fail(EXIT_USAGE, SNIPE_ERR_IO, "%s; check the path", error->message);
+		return file_failed(error);
 	if (strlen(*text) != len || !g_utf8_validate(*text, (gssize)len, NULL))
 		return fail(EXIT_INVALID, SNIPE_ERR_SYNTAX,
 			    "%s:1: file: is no UTF-8 text; save it as UTF-8", path);
@@ -77,15 +97,14 @@
 	struct files f;
 	int status = load_files(&f);
 
-	if (status)
-		return status;
-	if (options.json)
+	if (!status && options.json)
 		printf("{\"routes\":%d,\"workspaces\":%d,\"pools\":%d}\n", f.tables.route_count,
 		       f.tables.workspace_count, f.tables.pool_count);
-	else
+	else if (!status)
 		printf("routes=%d workspaces=%d pools=%d\n", f.tables.route_count,
 		       f.tables.workspace_count, f.tables.pool_count);
-	return EXIT_OK;
+	finish_files(&f);
+	return status;
 }
 
 static void print_diff(uint64_t version, const struct snipe_problems *lines)
@@ -109,32 +128,43 @@
 	json_decref(root);
 }
 
-int command_diff(void)
+static int diff(const struct current *c, const struct files *f)
 {
 	struct snipe_tables before = {0};
 	struct snipe_problems lines;
-	struct current c;
-	struct files f;
-	int status = load_files(&f);
+	int status;
 
-	if (!status)
-		status = load_current(&c, 0);
-	if (status)
-		return status;
 	snipe_problems_init(&lines);
-	if (c.version &&
-	    snipe_tables_load(&before, c.doc.routes_toml, "config/tables routes",
-			      c.doc.pools_toml, "config/tables pools", &lines) < 0) {
+	if (c->version &&
+	    snipe_tables_load(&before, c->doc.routes_toml, "config/tables routes",
+			      c->doc.pools_toml, "config/tables pools", &lines) < 0) {
 		print_problems(&lines);
-		return EXIT_INVALID;
+		status = EXIT_INVALID;
+	} else {
+		snipe_tables_diff(&before, &f->tables, &lines);
+		print_diff(c->version, &lines);
+		status = lines.count ? EXIT_DIFFERENT : EXIT_OK;
 	}
-	snipe_tables_diff(&before, &f.tables, &lines);
-	print_diff(c.version, &lines);
-	status = lines.count ? EXIT_DIFFERENT : EXIT_OK;
+	snipe_tables_finish(&before);
 	snipe_problems_finish(&lines);
 	return status;
 }
 
+int command_diff(void)
+{
+	struct current c = {0};
+	struct files f;
+	int status = load_files(&f);
+
+	if (!status)
+		status = load_current(&c, 0);
+	if (!status)
+		status = diff(&c, &f);
+	finish_files(&f);
+	finish_current(&c);
+	return status;
+}
+
 static int conflict(const struct current *now, uint64_t seen)
 {
 	const struct snipe_write_record *last = now->doc.history;
@@ -162,7 +192,10 @@
 		return hand_over("tables", version, value);
 	case SNIPE_ERR_CONFLICT:
 		status = load_current(&now, 0);
-		return status ? status : conflict(&now, base);
+		if (!status)
+			status = conflict(&now, base);
+		finish_current(&now);
+		return status;
 	case SNIPE_ERR_UNKNOWN:
 		return fail(EXIT_UNKNOWN, err,
 			    "the response to the write was lost and the platform does not "
@@ -177,34 +210,75 @@
 	}
 }
 
-int command_apply(void)
+/* Writes the files over the tables in force. */
+static int write_tables(struct current *c, struct files *f)
 {
 	struct snipe_write_record record;
-	struct current c;
-	struct files f;
 	char base_write_id[40], *value;
 	uint64_t version;
+	int status;
+
+	new_write_record(&record);
+	g_free(c->doc.routes_toml);
+	g_free(c->doc.pools_toml);
+	c->doc.routes_toml = g_steal_pointer(&f->routes);
+	c->doc.pools_toml = g_steal_pointer(&f->pools);
+	snipe_history_push(c->doc.history, &c->doc.history_count, &record);
+	g_strlcpy(base_write_id, c->doc.write_id, sizeof(base_write_id));
+	g_strlcpy(c->doc.write_id, record.write_id, sizeof(c->doc.write_id));
+	value = snipe_tables_document_print(&c->doc);
+	status = commit("tables", c->version, base_write_id, record.write_id, value, &version);
+	status = report_apply(status, c->version, version, record.write_id, value);
+	g_free(value);
+	return status;
+}
+
+int command_apply(void)
+{
+	struct current c = {0};
+	struct files f = {0};
 	int status = load_secret();
 
 	if (!status)
 		status = load_files(&f);
 	if (!status)
 		status = load_current(&c, 0);
-	if (status)
-		return status;
-	if (options.if_version >= 0 && (uint64_t)options.if_version != c.version)
-		return conflict(&c, (uint64_t)options.if_version);
-	new_write_record(&record);
-	g_free(c.doc.routes_toml);
-	g_free(c.doc.pools_toml);
-	c.doc.routes_toml = f.routes;
-	c.doc.pools_toml = f.pools;
-	snipe_history_push(c.doc.history, &c.doc.history_count, &record);
-	g_strlcpy(base_write_id, c.doc.write_id, sizeof(base_write_id));
-	g_strlcpy(c.doc.write_id, record.write_id, sizeof(c.doc.write_id));
-	value = snipe_tables_document_print(&c.doc);
-	status = commit("tables", c.version, base_write_id, record.write_id, value, &version);
-	return report_apply(status, c.version, version, record.write_id, value);
+	if (!status && options.if_version >= 0 && (uint64_t)options.if_version != c.version)
+		status = conflict(&c, (uint64_t)options.if_version);
+	else if (!status)
+		status = write_tables(&c, &f);
+	finish_files(&f);
+	finish_current(&c);
+	return status;
+}
+
+static void print_history_json(const struct current *c)
+{
+	json_t *list = json_array();
+	char *text;
+
+	for (int i = 0; i < c->doc.history_count; i++) {
+		const struct snipe_write_record *w = &c->doc.history[i];
+
+		json_array_append_new(list, json_pack("{s:s, s:s, s:s, s:s}", "write_id",
+						      w->write_id, "operator", w->operator_name,
+						      "time", w->time, "note", w->note));
+	}
+	text = json_dumps(list, JSON_COMPACT);
+	printf("{\"version\":%" G_GUINT64_FORMAT ",\"history\":%s}\n", c->version, text);
+	free(text);
+	json_decref(list);
+}
+
+static void print_history(const struct current *c)
+{
+	printf("version=%" G_GUINT64_FORMAT "\n", c->version);
+	for (int i = 0; i < c->doc.history_count; i++) {
+		const struct snipe_write_record *w = &c->doc.history[i];
+
+		printf("time=%s operator=%s write=%s note=\"%s\"\n", w->time, w->operator_name,
+		       w->write_id, w->note);
+	}
 }
 
 int command_history(void)
@@ -212,31 +286,12 @@
 	struct current c;
 	int status = load_current(&c, 1);
 
-	if (status)
-		return status;
-	if (options.json) {
-		json_t *list = json_array();
-		char *text;
-
-		for (int i = 0; i < c.doc.history_count; i++)
-			json_array_append_new(list,
-					      json_pack("{s:s, s:s, s:s, s:s}", "write_id",
-							c.doc.history[i].write_id, "operator",
-							c.doc.history[i].operator_name, "time",
-							c.doc.history[i].time, "note",
-							c.doc.history[i].note));
-		text = json_dumps(list, JSON_COMPACT);
-		printf("{\"version\":%" G_GUINT64_FORMAT ",\"history\":%s}\n", c.version, text);
-		free(text);
-		json_decref(list);
-		return EXIT_OK;
-	}
-	printf("version=%" G_GUINT64_FORMAT "\n", c.version);
-	for (int i = 0; i < c.doc.history_count; i++)
-		printf("time=%s operator=%s write=%s note=\"%s\"\n", c.doc.history[i].time,
-		       c.doc.history[i].operator_name, c.doc.history[i].write_id,
-		       c.doc.history[i].note);
-	return EXIT_OK;
+	if (!status && options.json)
+		print_history_json(&c);
+	else if (!status)
+		print_history(&c);
+	finish_current(&c);
+	return status;
 }
 
 static int write_file(const char *path, const char *text)
@@ -244,28 +299,36 @@
 	GError *error = NULL;
 
 	if (!g_file_set_contents(path, text, -1, &error))
-		return fail(EXIT_USAGE, SNIPE_ERR_IO, "%s; check the path", error->message);
+		return file_failed(error);
 	return 0;
 }
 
-int command_fetch(void)
+static int fetch(const struct current *c)
 {
-	struct current c;
-	int status = load_current(&c, 1);
+	int status;
 
-	if (status)
-		return status;
 	if (!options.force && (g_file_test(options.routes, G_FILE_TEST_EXISTS) ||
 			       g_file_test(options.pools, G_FILE_TEST_EXISTS)))
 		return fail(EXIT_USAGE, SNIPE_ERR_INVALID,
 			    "%s or %s exists; name other files, or overwrite with --force",
 			    options.routes, options.pools);
-	status = write_file(options.routes, c.doc.routes_toml);
+	status = write_file(options.routes, c->doc.routes_toml);
 	if (!status)
-		status = write_file(options.pools, c.doc.pools_toml);
+		status = write_file(options.pools, c->doc.pools_toml);
 	if (!status)
 		printf(options.json ? "{\"version\":%" G_GUINT64_FORMAT "}\n"
 				    : "version=%" G_GUINT64_FORMAT "\n",
-		       c.version);
+		       c->version);
+	return status;
+}
+
+int command_fetch(void)
+{
+	struct current c;
+	int status = load_current(&c, 1);
+
+	if (!status)
+		status = fetch(&c);
+	finish_current(&c);
 	return status;
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,6 +3,7 @@
 # nodes with a stand-in backend server each, applies the tables of examples/tui, issues a key,
 # sends requests, overloads the fleet, withdraws the key, stops a node gracefully, and stops
 # everything it started. The kernel chooses all ports. Takes about a minute after the build.
+#   scripts/demo.sh [--keep]    --keep: leaves the fleet running after the requests, until Ctrl-C
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
@@ -191,6 +192,16 @@
 request "${callers[1]}" "$read_method" "$read_path" "Snipe-Key: $key" "Snipe-Workspace: another"
 request "${callers[1]}" GET /unknown "Snipe-Key: $key"
 
+if [ "${1-}" = --keep ]; then
+	say "The fleet stays up until Ctrl-C"
+	echo "platform: $platform"
+	echo "callers:  ${callers[0]}"
+	echo "admin:    ${admins[0]}"
+	echo "key:      $key"
+	trap 'exit 0' INT TERM
+	wait
+fi
+
 say "Overload: base load, a surge of ten times that, base load again"
 targets=$(printf '"%s",' "${callers[@]}")
 cat >"$work/load.json" <<LOAD
