Probe less: not at the ceiling, and grow faster until the first congestion

Cause: a probe lowers the limit to a quarter, also when the limit is at its ceiling and holds nothing back; after a start the limit grew by one step a period.

--- a/libs/core/limiter.c
+++ b/libs/core/limiter.c
@@ -10,6 +10,7 @@
 #define MINIMUM_WEIGHT 0.25 /* a minimum that is too low by chance keeps the limit too low */
 #define FASTER_FACTOR 0.6   /* latency below this multiple of the minimum: a probe is due */
 #define INCREASE_DIVISOR 32 /* slots / 32 for each period */
+#define START_DIVISOR 2	    /* limit / 2 for each period until the first congestion */
 
 /* A period with fewer samples has a mean too noisy to compare with a minimum of means. */
 #define PERIOD_SAMPLES 32
@@ -47,7 +48,9 @@
 
 static double step(const struct snipe_limiter *l)
 {
-	return max_double(1, (double)l->slots / INCREASE_DIVISOR);
+	double plain = max_double(1, (double)l->slots / INCREASE_DIVISOR);
+
+	return l->has_congestion ? plain : max_double(plain, l->limit / START_DIVISOR);
 }
 
 static void set_limit(struct snipe_limiter *l, double limit)
@@ -72,6 +75,7 @@
 	memset(&l->probe, 0, sizeof(l->probe));
 	l->probe.last_us = now_us - FIRST_PROBE_US;
 	l->probe.wanted = 1;
+	l->has_congestion = 0;
 	start_period(l, now_us);
 }
 
@@ -119,6 +123,9 @@
 {
 	if (l->probe.wanted)
 		return may_probe(l, now_us);
+	/* At its ceiling the limit holds nothing back, and a probe would only cost goodput. */
+	if (l->limit >= l->slots)
+		return 0;
 	return (double)(now_us - l->probe.last_us) >=
 	       max_double(PROBE_INTERVAL_US, PROBE_INTERVAL_PERIODS * l->latency_us);
 }
@@ -262,14 +269,20 @@
 	int is_shedding = l->period.shed_count * CONGESTION_SHARE >= total;
 	int in_use = l->period.max_in_flight + (int)step(l) >= (int)l->limit;
 	int loaded = l->period.max_in_flight * 2 >= (int)l->limit;
+	int is_slow;
 
 	update_means(l);
 	if (l->period.count > 0)
 		update_minimum(l);
+	is_slow = loaded && l->latency_us > LATENCY_FACTOR * l->min_latency_us;
+	if (!l->has_congestion && (congested || is_slow)) {
+		/* From here on the limit depends on the minimum, so it has to be right. */
+		l->has_congestion = 1;
+		l->probe.wanted = 1;
+	}
 	if (is_shedding) {
 		decrease(l);
-	} else if (congested ||
-		   (loaded && l->latency_us > LATENCY_FACTOR * l->min_latency_us)) {
+	} else if (congested || is_slow) {
 		decrease_or_probe(l, now_us);
 	} else if (in_use && l->period.count > 0) {
 		if (is_probe_due(l, now_us)) {
--- a/libs/core/limiter.h
+++ b/libs/core/limiter.h
@@ -36,6 +36,7 @@
 	double run_limit;      /* limit before the present run of decreases */
 	double mean_us;	       /* mean latency of the last period; 0: none yet */
 	double latency_us;     /* the same without outliers */
+	int has_congestion;    /* seen since the start; until then the limit grows faster */
 	int settle;	       /* samples to be left out before the next period */
 	double min_latency_us; /* long-term minimum of the period means; 0: none yet */
 
