Start a restarted node again while one of its ports is in use

process_rate_test failed once: the kernel had given the port of a stopped node to an outgoing connection. The library of the process tests now waits for the port.

--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -303,9 +303,17 @@
 		}
 	toml << "]\n" << node.spec.settings;
 	WriteFile(file, toml.str());
-	node.process = std::make_unique<Process>(
-		std::vector<std::string>{"snipescaled", "--config", file}, File(node.spec.id));
-	auto pairs = node.process->WaitEvent("listening");
+	/* A restarted node keeps its ports. Meanwhile the kernel may have given one of them to
+	 * an outgoing connection, which ends by itself. */
+	std::map<std::string, std::string> pairs;
+	WaitFor([&] {
+		node.process = std::make_unique<Process>(
+			std::vector<std::string>{"snipescaled", "--config", file},
+			File(node.spec.id));
+		pairs = node.process->WaitEvent("listening");
+		return !pairs.empty() ||
+		       node.process->Errors().find("already in use") == std::string::npos;
+	});
 	node.caller_port = PortOf(pairs, "callers");
 	node.local_port = PortOf(pairs, "local");
 	node.peer_port = PortOf(pairs, "peers");
