--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,7 +11,7 @@
 cmake --build "$build" -j "$jobs"
 scripts/sanitize.sh
 
-known_red=$(sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
+known_red=$(scripts/known_red.sh)
 if [ -n "$known_red" ]; then
 	echo "Known failures, see KNOWN-RED.txt (the result is not affected):"
 	ctest --test-dir "$build" -R "^($known_red)\$" --output-on-failure || true
