Leave waits for inner calls out of the limiter's latency

Cause: the latency of a call that waits for an overloaded inner service looked like congestion of its own server.

--- a/libs/node/backend_call.c
+++ b/libs/node/backend_call.c
@@ -118,8 +118,10 @@
 {
 	struct snipe_backend_task *t = call->task;
 	int64_t now = snipe_now_us();
+	/* A slow service further down must not lower the limit of those that call it. */
+	int64_t waited = snipe_context_entry_waited_us(&call->context, now);
 
-	snipe_limiter_record(&t->limiter, now, now - call->started_us,
+	snipe_limiter_record(&t->limiter, now, now - call->started_us - waited,
 			     snipe_admission_running(&t->admission), sample);
 }
 
--- a/libs/node/call_context.c
+++ b/libs/node/call_context.c
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "node/clock.h"
 
 static guint token_hash(gconstpointer key)
 {
@@ -108,7 +109,10 @@
 		return SNIPE_ERR_NOT_FOUND;
 	*context = e->context;
 	*repeated = mark_inner(e, fingerprint);
-	t->blocked += e->inner_running++ == 0;
+	if (e->inner_running++ == 0) {
+		t->blocked++;
+		e->waiting_since_us = snipe_now_us();
+	}
 	return 0;
 }
 
@@ -117,6 +121,15 @@
 {
 	struct snipe_context_entry *e = g_hash_table_lookup(t->entries, token);
 
-	if (e)
-		t->blocked -= --e->inner_running == 0;
+	if (e && --e->inner_running == 0) {
+		t->blocked--;
+		e->waited_us += snipe_now_us() - e->waiting_since_us;
+	}
+}
+
+int64_t snipe_context_entry_waited_us(const struct snipe_context_entry *entry, int64_t now_us)
+{
+	int64_t open_us = entry->inner_running > 0 ? now_us - entry->waiting_since_us : 0;
+
+	return entry->waited_us + open_us;
 }
--- a/libs/node/call_context.h
+++ b/libs/node/call_context.h
@@ -20,8 +20,10 @@
 struct snipe_context_entry {
 	uint8_t token[SNIPE_CONTEXT_BYTES];
 	struct snipe_call_context context;
-	int inner_running; /* inner calls that have not ended */
-	GHashTable *inner; /* fingerprints of inner calls; NULL while there are none */
+	int inner_running;	  /* inner calls that have not ended */
+	int64_t waiting_since_us; /* while inner_running is above 0 */
+	int64_t waited_us;	  /* in earlier waits for inner calls */
+	GHashTable *inner;	  /* fingerprints of inner calls; NULL while there are none */
 };
 
 /* Fields are private. */
@@ -53,6 +55,9 @@
 void snipe_context_table_inner_done(struct snipe_context_table *t,
 				    const uint8_t token[SNIPE_CONTEXT_BYTES]);
 
+/* Time that the call has spent waiting for inner calls so far. */
+int64_t snipe_context_entry_waited_us(const struct snipe_context_entry *entry, int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Checks format and style, builds the project and runs all tests.
 #   scripts/test.sh [ctest options]
-# Tests listed in KNOWN-RED.txt are run last and printed, and do not change the result.
+# Tests listed in KNOWN-RED.txt are run first and printed, and do not change the result.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
--- a/tests/node/call_context_test.cc
+++ b/tests/node/call_context_test.cc
@@ -99,3 +99,23 @@
 	for (auto &e : entries)
 		snipe_context_table_remove(&table_, &e);
 }
+
+/* Guards against a limit that falls because a service further down the call graph is slow. */
+TEST_F(CallContext, WaitsForInnerCallsAreCountedOnceAndOnlyWhileTheyRun)
+{
+	snipe_context_entry e;
+	std::string token = Add(&e, "alpha");
+	int64_t now = 1LL << 60; /* after any reading of the clock below */
+
+	EXPECT_EQ(snipe_context_entry_waited_us(&e, now), 0);
+	ASSERT_EQ(Find(token.c_str(), 1), 0);
+	int64_t since = e.waiting_since_us;
+	EXPECT_EQ(snipe_context_entry_waited_us(&e, since + 1000), 1000);
+	ASSERT_EQ(Find(token.c_str(), 2), 0);
+	EXPECT_EQ(e.waiting_since_us, since) << "two inner calls at once wait once";
+	snipe_context_table_inner_done(&table_, e.token);
+	EXPECT_EQ(snipe_context_entry_waited_us(&e, since + 3000), 3000);
+	snipe_context_table_inner_done(&table_, e.token);
+	EXPECT_EQ(snipe_context_entry_waited_us(&e, now), e.waited_us);
+	snipe_context_table_remove(&table_, &e);
+}
