Run up to three process tests at a time

A process test counts as three processors, so that five jobs ran only one of them at a time, and the whole run took more than 15 minutes.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,7 +15,7 @@
 if [ -n "$known_red" ]; then
 	echo "Known failures, see KNOWN-RED.txt (the result is not affected):"
 	ctest --test-dir "$build" -R "^($known_red)\$" --output-on-failure || true
-	ctest --test-dir "$build" -j $((jobs / 2)) --output-on-failure -E "^($known_red)\$" "$@"
+	ctest --test-dir "$build" -j "$jobs" --output-on-failure -E "^($known_red)\$" "$@"
 else
-	ctest --test-dir "$build" -j $((jobs / 2)) --output-on-failure "$@"
+	ctest --test-dir "$build" -j "$jobs" --output-on-failure "$@"
 fi
