Share the set-up of inner pools and kept requests in the call path test

Four tests repeated the same three lines, seven the same handler. A context also starts with no time waited, like its other fields.

--- a/libs/node/call_context.c
+++ b/libs/node/call_context.c
@@ -51,6 +51,7 @@
 	make_token(t, entry->token);
 	entry->inner = NULL;
 	entry->inner_running = 0;
+	entry->waited_us = 0;
 	memcpy(entry->context.token, entry->token, SNIPE_CONTEXT_BYTES);
 	g_hash_table_insert(t->entries, entry->token, entry);
 	snipe_hex(entry->token, SNIPE_CONTEXT_BYTES, text);
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -141,6 +141,18 @@
 		m.state = SNIPE_MEMBER_READY;
 		return m;
 	}
+	/* Inner calls go to pool b, whose backend server is beside the first node. */
+	void ServeInnerPool()
+	{
+		entry.Announce(inner, "b");
+		members.push_back(Member(entry, "entry", "b"));
+		Publish();
+	}
+	/* The backend server answers when the test says so. */
+	void KeepRequests()
+	{
+		server.handler = [this](evhttp_request *req) { server.kept.push_back(req); };
+	}
 	/* Publishes tables, keys and members to all tasks, and waits until they have them. */
 	void Publish()
 	{
@@ -363,7 +375,7 @@
 
 TEST_F(CallPath, SilentBackendServerEndsInTimeout)
 {
-	server.handler = [&](evhttp_request *req) { server.kept.push_back(req); };
+	KeepRequests();
 	std::string r = Call("GET /read/1", WithKey() + "Snipe-Timeout-Ms: 100\r\n");
 	EXPECT_TRUE(Has(r, "Snipe-Reason: timeout")) << r;
 	EXPECT_TRUE(Has(r, "Snipe-Outcome: unknown")) << r;
@@ -399,7 +411,7 @@
 /* Guards against a non-idempotent request that is sent again after its bytes had left. */
 TEST_F(CallPath, DeathOfTheBackendServerIsUnknownAndStrikes)
 {
-	server.handler = [&](evhttp_request *req) { server.kept.push_back(req); };
+	KeepRequests();
 	Caller c(loop, *snipe_caller_task_address(entry.caller));
 
 	c.Send(Request("POST /charge", WithKey()));
@@ -444,7 +456,7 @@
 	};
 	auto in_flight = [&] { return snipe_backend_task_in_flight(side.backend); };
 
-	server.handler = [&](evhttp_request *req) { server.kept.push_back(req); };
+	KeepRequests();
 	for (int i = 0; i < 12; i++)
 		add(Request("GET /open"));
 	/* A quarter of 16 slots at the start, and 8 places in the queue. */
@@ -489,7 +501,7 @@
 	snipe_task_message m = {};
 	Caller c(loop, *snipe_caller_task_address(entry.caller));
 
-	server.handler = [&](evhttp_request *req) { server.kept.push_back(req); };
+	KeepRequests();
 	c.Send(Request("POST /charge", WithKey()));
 	ASSERT_TRUE(Seen(1));
 	m.type = SNIPE_TASK_DRAIN;
@@ -511,9 +523,7 @@
 	std::string inner_response;
 	std::unique_ptr<Caller> c;
 
-	entry.Announce(inner, "b");
-	members.push_back(Member(entry, "entry", "b"));
-	Publish();
+	ServeInnerPool();
 	server.handler = [&](evhttp_request *req) {
 		c = std::make_unique<Caller>(loop,
 					     *snipe_caller_task_local_address(side.caller));
@@ -548,10 +558,8 @@
 /* Guards against retries by backend servers that the ledger of the first node does not see. */
 TEST_F(CallPath, RepeatedInnerCallsAreBoundedByTheLedger)
 {
-	entry.Announce(inner, "b");
-	members.push_back(Member(entry, "entry", "b"));
-	Publish();
-	server.handler = [&](evhttp_request *req) { server.kept.push_back(req); };
+	ServeInnerPool();
+	KeepRequests();
 	Caller outer(loop, *snipe_caller_task_address(entry.caller));
 	outer.Send(Request("GET /read/1", WithKey()));
 	ASSERT_TRUE(Seen(1));
@@ -570,10 +578,8 @@
 /* Guards against a second run of a charge that a backend server repeats by itself. */
 TEST_F(CallPath, RepeatedNonIdempotentInnerCallRunsOnce)
 {
-	entry.Announce(inner, "b");
-	members.push_back(Member(entry, "entry", "b"));
-	Publish();
-	server.handler = [&](evhttp_request *req) { server.kept.push_back(req); };
+	ServeInnerPool();
+	KeepRequests();
 	Caller outer(loop, *snipe_caller_task_address(entry.caller));
 	outer.Send(Request("GET /read/1", WithKey()));
 	ASSERT_TRUE(Seen(1));
@@ -592,9 +598,7 @@
 /* Guards against runs that multiply below a call that is sent again. */
 TEST_F(CallPath, InnerCallsOfASecondAttemptTakeTokens)
 {
-	entry.Announce(inner, "b");
-	members.push_back(Member(entry, "entry", "b"));
-	Publish();
+	ServeInnerPool();
 	server.handler = [&](evhttp_request *req) {
 		server.kept.push_back(req);
 		if (server.kept.size() == 1)
@@ -735,7 +739,7 @@
 {
 	auto c = std::make_unique<Caller>(loop, *snipe_caller_task_address(entry.caller));
 
-	server.handler = [&](evhttp_request *req) { server.kept.push_back(req); };
+	KeepRequests();
 	c->Send(Request("POST /charge",
 			WithKey() + "Idempotency-Key: " + kIdentifier + "\r\n"));
 	ASSERT_TRUE(Seen(1));
