--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -5,7 +5,10 @@
  *
  * Bytes are counted on the loopback device from the IP headers of all packets from or to the
  * peer ports of the nodes and the platform's port, so the node's own counters play no part.
- * Counting needs the right to open a packet socket; without it the column shows "-".
+ * Counting needs the right to open a packet socket; without it the columns show "-".
+ *
+ * The last columns are sent plus received bytes/s from the nodes' counters, which show the
+ * spread between nodes: datagrams with IP and UDP headers, and values of fetched objects.
  */
 #include <arpa/inet.h>
 #include <linux/if_ether.h>
@@ -34,7 +37,8 @@
 	bool counted = false;
 };
 
-/* Counts IP bytes on loopback for some seconds; each packet once, when it leaves. */
+/* Counts IP bytes on loopback for some seconds; each packet once, when it arrives: a socket for
+ * one protocol is not shown the packets that leave. */
 Traffic CountTraffic(const std::set<int> &peer_ports, int platform_port, double seconds)
 {
 	struct sockaddr_ll addr = {};
@@ -63,7 +67,7 @@
 				     reinterpret_cast<struct sockaddr *>(&from), &len);
 		size_t header = static_cast<size_t>(packet[0] & 15) * 4;
 		if (n < 24 || static_cast<size_t>(n) < header + 4 ||
-		    from.sll_pkttype != PACKET_OUTGOING)
+		    from.sll_pkttype != PACKET_HOST)
 			continue;
 		int bytes = packet[2] << 8 | packet[3];
 		int source = packet[header] << 8 | packet[header + 1];
@@ -77,11 +81,30 @@
 	return t;
 }
 
+/* Control bytes that a node has sent and received, from its counters. */
+double CounterBytes(const Node &node)
+{
+	std::string text = Fetch(node.admin_port, "GET", "/metrics").body;
+	double bytes = 0;
+
+	for (const char *name :
+	     {"\nsnipescale_control_bytes_sent ", "\nsnipescale_control_bytes_received "}) {
+		size_t at = text.find(name);
+
+		if (at == std::string::npos)
+			throw std::runtime_error("a node has no counter of control bytes");
+		bytes += std::atof(text.c_str() + at + std::strlen(name));
+	}
+	return bytes;
+}
+
 void Measure(int size, double seconds)
 {
 	Fleet fleet;
 	std::set<int> ports;
-	std::vector<double> cpu(static_cast<size_t>(size)), memory, busy;
+	std::vector<double> cpu(static_cast<size_t>(size)), memory, busy, rates;
+	std::vector<double> before(static_cast<size_t>(size));
+	double sum = 0;
 
 	for (int i = 0; i < size; i++) {
 		NodeSpec spec;
@@ -101,14 +124,18 @@
 		ports.insert(fleet[i].peer_port);
 	/* Connections and subscriptions of the start come to rest. */
 	std::this_thread::sleep_for(std::chrono::seconds(5));
-	for (size_t i = 0; i < fleet.size(); i++)
+	for (size_t i = 0; i < fleet.size(); i++) {
 		cpu[i] = snipe_bench::CpuSeconds(fleet[i].process->pid());
+		before[i] = CounterBytes(fleet[i]);
+	}
 	Traffic t = CountTraffic(ports, fleet.platform_relay.port, seconds);
 	for (size_t i = 0; i < fleet.size(); i++) {
 		pid_t pid = fleet[i].process->pid();
 
 		busy.push_back((snipe_bench::CpuSeconds(pid) - cpu[i]) / seconds * 100);
 		memory.push_back(snipe_bench::ResidentMb(pid));
+		rates.push_back((CounterBytes(fleet[i]) - before[i]) / seconds);
+		sum += rates.back();
 	}
 	std::printf("%6d", size);
 	if (t.counted)
@@ -117,9 +144,10 @@
 			    static_cast<double>(t.platform_bytes) / seconds / size);
 	else
 		std::printf(" %14s %18s", "-", "-");
-	std::printf(" %12.2f %12.2f %12.1f %12.1f\n", snipe_bench::Quantile(busy, 0.5),
-		    snipe_bench::Quantile(busy, 1), snipe_bench::Quantile(memory, 0.5),
-		    snipe_bench::Quantile(memory, 1));
+	std::printf(" %12.2f %12.2f %12.1f %12.1f %12.0f %12.0f\n",
+		    snipe_bench::Quantile(busy, 0.5), snipe_bench::Quantile(busy, 1),
+		    snipe_bench::Quantile(memory, 0.5), snipe_bench::Quantile(memory, 1),
+		    sum / size, snipe_bench::Quantile(rates, 1));
 	std::fflush(stdout);
 }
 
@@ -134,8 +162,9 @@
 		sizes.push_back(std::atoi(argv[i]));
 	if (sizes.empty())
 		sizes = {10, 30, 100};
-	std::printf("%6s %14s %18s %12s %12s %12s %12s\n", "nodes", "peer B/s/node",
-		    "platform B/s/node", "CPU % p50", "CPU % max", "MB p50", "MB max");
+	std::printf("%6s %14s %18s %12s %12s %12s %12s %12s %12s\n", "nodes", "peer B/s/node",
+		    "platform B/s/node", "CPU % p50", "CPU % max", "MB p50", "MB max",
+		    "counted mean", "counted max");
 	for (int size : sizes)
 		Measure(size, seconds);
 	return 0;
