--- a/libs/base/buffer.c
+++ b/libs/base/buffer.c
@@ -54,12 +54,6 @@
 	g_free(text);
 }
 
-void snipe_buffer_drop(struct snipe_buffer *buf, size_t len)
-{
-	memmove(buf->data, buf->data + len, buf->len - len);
-	buf->len -= len;
-}
-
 const char *snipe_buffer_str(struct snipe_buffer *buf)
 {
 	reserve(buf, 0);
--- a/libs/base/buffer.h
+++ b/libs/base/buffer.h
@@ -27,9 +27,6 @@
 void snipe_buffer_printf(struct snipe_buffer *buf, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
-/* Removes len bytes from the front. */
-void snipe_buffer_drop(struct snipe_buffer *buf, size_t len);
-
 /* Returns the content as a string; the terminating null is not part of len. */
 const char *snipe_buffer_str(struct snipe_buffer *buf);
 
--- a/libs/node/snapshot.c
+++ b/libs/node/snapshot.c
@@ -1,7 +1,6 @@
 #include "node/snapshot.h"
 
 #include <glib.h>
-#include <stdlib.h>
 #include <string.h>
 
 struct snipe_snapshot *snipe_snapshot_new(const uint64_t versions[SNIPE_OBJECT_COUNT],
@@ -75,15 +74,3 @@
 	snipe_keys_finish(&k->keys);
 	g_free(k);
 }
-
-static int compare_id(const void *key, const void *elem)
-{
-	return strcmp(key, ((const struct snipe_member *)elem)->node_id);
-}
-
-const struct snipe_member *snipe_snapshot_member(const struct snipe_snapshot *s,
-						 const char *node_id)
-{
-	return bsearch(node_id, s->members, (size_t)s->member_count, sizeof(*s->members),
-		       compare_id);
-}
--- a/libs/node/snapshot.h
+++ b/libs/node/snapshot.h
@@ -45,9 +45,6 @@
 struct snipe_loaded_keys *snipe_loaded_keys_new(void);
 void snipe_loaded_keys_unref(struct snipe_loaded_keys *k);
 
-const struct snipe_member *snipe_snapshot_member(const struct snipe_snapshot *s,
-						 const char *node_id);
-
 #ifdef __cplusplus
 }
 #endif
