--- /dev/null
+++ b/libs/gateway/entry.c
@@ -0,0 +1,306 @@
+#include "gateway/entry_state.h"
+
+#include <event2/event.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "gateway/gate.h"
+
+/* Parts of the fleet's bound on repeats, for each service. A call that runs again makes its own
+ * calls again, which count at the services below; chains are up to four levels deep. */
+#define RERUN_PART 0.12
+#define RESEND_PART 0.45
+/* Part of the slack of that bound that all nodes together may save up for each kind of repeat.
+ */
+#define SAVED_PART 0.4
+/* Long enough for the caller's next request to go to another node. */
+#define RETRY_AFTER_STOP_US 100000
+/* Limits until the tables state them: those of the project's own interface for headers, and
+ * times that a slow caller of one request needs. */
+#define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
+#define DEFAULT_HEAD_TIMEOUT_US 3000000
+#define DEFAULT_IDLE_TIMEOUT_US 60000000
+
+static struct snipe_entry_route *find_route_state(struct snipe_entry *e, const char *name)
+{
+	struct snipe_entry_route *s = g_hash_table_lookup(e->routes, name);
+
+	if (s)
+		return s;
+	s = g_new0(struct snipe_entry_route, 1);
+	snipe_entry_limit_init(&s->limit, snipe_now_us());
+	g_hash_table_insert(e->routes, g_strdup(name), s);
+	return s;
+}
+
+/* Repeats of one kind that this node may save up. */
+static double saved_max(const struct snipe_entry *e)
+{
+	return SAVED_PART * e->config.settings->retry_slack /
+	       snipe_directory_node_count(e->config.directory);
+}
+
+static struct snipe_entry_service *find_service_state(struct snipe_entry *e, const char *name)
+{
+	struct snipe_entry_service *s = g_hash_table_lookup(e->services, name);
+
+	if (s)
+		return s;
+	s = g_new0(struct snipe_entry_service, 1);
+	snipe_retry_share_init(&s->reruns, RERUN_PART * e->config.settings->retry_ratio,
+			       saved_max(e));
+	snipe_retry_share_init(&s->resends, RESEND_PART * e->config.settings->retry_ratio,
+			       saved_max(e));
+	g_hash_table_insert(e->services, g_strdup(name), s);
+	return s;
+}
+
+static void free_route_state(gpointer p)
+{
+	struct snipe_entry_route *s = p;
+
+	g_free(s->credits);
+	g_free(s);
+}
+
+/* Chooses the service of a route in exact proportion to the weights: each target gains its
+ * weight, and the one with the most pays the sum. */
+static const char *choose_service(struct snipe_entry_route *s,
+				  const struct snipe_gateway_route *r)
+{
+	char targets[sizeof(s->targets)] = "";
+	int sum = 0, best = 0;
+
+	if (r->target_count == 1)
+		return r->targets[0].service;
+	for (int i = 0; i < r->target_count; i++) {
+		g_strlcat(targets, r->targets[i].service, sizeof(targets));
+		g_strlcat(targets, " ", sizeof(targets));
+	}
+	if (s->credit_count != r->target_count || strcmp(s->targets, targets) != 0) {
+		g_free(s->credits);
+		s->credits = g_new0(int, r->target_count);
+		s->credit_count = r->target_count;
+		memcpy(s->targets, targets, sizeof(targets));
+	}
+	for (int i = 0; i < r->target_count; i++) {
+		s->credits[i] += r->targets[i].weight;
+		sum += r->targets[i].weight;
+		if (s->credits[i] > s->credits[best])
+			best = i;
+	}
+	s->credits[best] -= sum;
+	return r->targets[best].service;
+}
+
+static struct snipe_entry_call *new_call(struct snipe_entry *e, struct snipe_h1_request *req)
+{
+	struct snipe_entry_call *call = g_new0(struct snipe_entry_call, 1);
+	const char *id = snipe_h1_find(&req->message, e->config.dialect->headers.request_id);
+
+	call->entry = e;
+	call->req = req;
+	snipe_buffer_init(&call->failure);
+	snipe_buffer_init(&call->failure_body);
+	req->owner = call;
+	call->workspace = -1;
+	call->received_us = snipe_now_us();
+	call->deadline_us = call->received_us;
+	call->request_id = id ? id : "";
+	snipe_entry_call_init_timers(call);
+	call->next = e->calls;
+	if (e->calls)
+		e->calls->prev = call;
+	e->calls = call;
+	e->in_flight++;
+	return call;
+}
+
+/* What may be repeated grows with the calls; nodes that are away count as well. */
+static void count_call(struct snipe_entry *e, struct snipe_entry_service *s)
+{
+	snipe_retry_share_set_saved_max(&s->reruns, saved_max(e));
+	snipe_retry_share_set_saved_max(&s->resends, saved_max(e));
+	snipe_retry_share_on_call(&s->reruns);
+	snipe_retry_share_on_call(&s->resends);
+}
+
+/* A suspect request that many callers send must be found innocent again: one of them runs. */
+static int begin_trial(struct snipe_entry_call *call)
+{
+	struct snipe_entry *e = call->entry;
+
+	/* The turn takes a look at every node, and callers of a suspect request may hammer. */
+	call->is_trial = call->received_us >= snipe_crash_guard_trial_due(e->config.guard,
+									  call->fingerprint) &&
+			 snipe_crash_guard_try(
+				 e->config.guard, call->received_us, call->fingerprint,
+				 snipe_directory_turn(e->config.directory, call->fingerprint));
+	if (call->is_trial)
+		snipe_entry_call_log(call, "request_trial", 0, SNIPE_GATE_CRASH_SUSPECT, 0);
+	return call->is_trial;
+}
+
+static void on_request(void *arg, struct snipe_h1_request *req)
+{
+	struct snipe_entry *e = arg;
+	struct snipe_entry_call *call = new_call(e, req);
+	const struct snipe_h1_message *m = &req->message;
+	struct snipe_entry_rejection r = snipe_entry_call_check(call);
+
+	snipe_counters_add(e->config.counters, e->count_requests, 1);
+	if (r.status) {
+		snipe_entry_call_reject(call, &r);
+		return;
+	}
+	if (e->is_stopping && call->workspace >= 0) {
+		snipe_entry_call_reject_with(call, 503, "stopping", RETRY_AFTER_STOP_US);
+		return;
+	}
+	call->state = find_route_state(e, call->route->name);
+	call->service = choose_service(call->state, call->route);
+	call->service_state = find_service_state(e, call->service);
+	/* Inner calls of the backend server carry no key. */
+	call->is_inner = call->workspace < 0 && call->routing->needs_keys;
+	call->fingerprint = snipe_crash_fingerprint(
+		call->route->name, http_method_str((enum http_method)m->method),
+		snipe_buffer_str(&req->message.url), m->body.data, m->body.len);
+	count_call(e, call->service_state);
+	if (snipe_crash_guard_is_suspect(e->config.guard, call->received_us,
+					 call->fingerprint) &&
+	    !begin_trial(call)) {
+		snipe_entry_call_reject_with(call, 503, SNIPE_GATE_CRASH_SUSPECT, 0);
+		return;
+	}
+	if (!call->is_inner && !snipe_entry_limit_admit(&call->state->limit)) {
+		snipe_entry_call_refuse(call, SNIPE_GATE_OVERLOADED);
+		return;
+	}
+	call->is_limited = !call->is_inner;
+	snipe_entry_call_start_timer(call);
+	snipe_entry_call_place(call);
+}
+
+static void on_cancelled(void *arg, struct snipe_h1_request *req)
+{
+	struct snipe_entry *e = arg;
+	struct snipe_entry_call *call = req->owner;
+
+	snipe_entry_call_log(call, "request_cancelled", 0, "caller_left", 0);
+	snipe_counters_add(e->config.counters, e->count_cancelled, 1);
+	snipe_entry_call_free(call);
+}
+
+static void init_counters(struct snipe_entry *e)
+{
+	struct snipe_counters *c = e->config.counters;
+
+	snipe_histogram_init(&e->latency);
+	e->count_requests = snipe_counters_get(c, "requests_total", "");
+	e->count_served = snipe_counters_get(c, "requests_served_total", "");
+	e->count_refused = snipe_counters_get(c, "requests_refused_total", "");
+	e->count_failed = snipe_counters_get(c, "requests_failed_total", "");
+	e->count_cancelled = snipe_counters_get(c, "requests_cancelled_total", "");
+	e->count_retries = snipe_counters_get(c, "requests_retried_total", "");
+	e->gauge_in_flight = snipe_counters_get(c, "requests_in_flight", "");
+}
+
+int snipe_entry_init(struct snipe_entry *e, const struct snipe_entry_config *config,
+		     struct snipe_error_text *err)
+{
+	static const struct snipe_h1_server_ops ops = {on_request, on_cancelled};
+	int ret;
+
+	memset(e, 0, sizeof(*e));
+	e->config = *config;
+	ret = snipe_h1_server_init(&e->server, config->base, &config->settings->caller_listen,
+				   "callers", &ops, e, err);
+	if (ret < 0)
+		return ret;
+	e->server.limits.max_head_bytes = DEFAULT_MAX_HEAD_BYTES;
+	e->server.limits.max_body_bytes = SNIPE_MAX_BODY;
+	e->server.limits.head_timeout_us = DEFAULT_HEAD_TIMEOUT_US;
+	e->server.limits.idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US;
+	snipe_fleet_quota_init(&e->quota, snipe_directory_interval_us(config->directory),
+			       config->settings->is_first_start);
+	e->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_route_state);
+	e->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->rng = g_rand_new();
+	init_counters(e);
+	return 0;
+}
+
+void snipe_entry_finish(struct snipe_entry *e)
+{
+	if (!e->routes)
+		return;
+	for (struct snipe_entry_call *call = e->calls, *next; call; call = next) {
+		next = call->next;
+		snipe_entry_call_free(call);
+	}
+	snipe_h1_server_finish(&e->server);
+	snipe_fleet_quota_finish(&e->quota);
+	g_hash_table_destroy(e->routes);
+	g_hash_table_destroy(e->services);
+	g_rand_free(e->rng);
+	snipe_routing_unref(e->routing);
+}
+
+void snipe_entry_set_routing(struct snipe_entry *e, struct snipe_routing *routing)
+{
+	const struct snipe_caller_limits *l = &routing->limits;
+	int64_t now = snipe_now_us();
+
+	snipe_routing_unref(e->routing);
+	e->routing = snipe_routing_ref(routing);
+	for (int i = 0; i < routing->workspace_count; i++)
+		snipe_fleet_quota_limit(
+			&e->quota, now, snipe_hash64_str(routing->workspaces[i].name),
+			routing->workspaces[i].rate, routing->workspaces[i].burst);
+	if (l->max_header_bytes > 0)
+		e->server.limits.max_head_bytes = (size_t)l->max_header_bytes;
+	if (l->max_body_bytes > 0)
+		e->server.limits.max_body_bytes =
+			(size_t)MIN(l->max_body_bytes, SNIPE_MAX_BODY);
+	if (l->header_timeout_us > 0)
+		e->server.limits.head_timeout_us = l->header_timeout_us;
+	if (l->idle_timeout_us > 0)
+		e->server.limits.idle_timeout_us = l->idle_timeout_us;
+}
+
+void snipe_entry_confirm(struct snipe_entry *e, int64_t confirmed_us)
+{
+	e->confirmed_us = MAX(e->confirmed_us, confirmed_us);
+}
+
+int snipe_entry_in_flight(const struct snipe_entry *e)
+{
+	return e->in_flight;
+}
+
+void snipe_entry_dump(const struct snipe_entry *e, struct snipe_buffer *out)
+{
+	GHashTableIter it;
+	gpointer name, value;
+	int n = 0;
+
+	snipe_buffer_printf(out,
+			    "{\"in_flight\":%d,\"connections\":%d,\"tables\":\"%llx\","
+			    "\"confirmed_age_ms\":%lld,\"routes\":{",
+			    e->in_flight, e->server.connection_count,
+			    (unsigned long long)(e->routing ? e->routing->version : 0),
+			    (long long)((snipe_now_us() - e->confirmed_us) / 1000));
+	g_hash_table_iter_init(&it, e->routes);
+	while (g_hash_table_iter_next(&it, &name, &value)) {
+		const struct snipe_entry_route *s = value;
+
+		snipe_buffer_printf(
+			out,
+			"%s\"%s\":{\"limit\":%.1f,\"in_flight\":%d,\"latency_us\":%.0f,"
+			"\"unloaded_us\":%.0f}",
+			n++ ? "," : "", (const char *)name, s->limit.limit, s->limit.in_flight,
+			s->limit.latency_us, s->limit.base_us);
+	}
+	snipe_buffer_printf(out, "}}");
+}
--- /dev/null
+++ b/libs/gateway/entry_call.c
@@ -0,0 +1,496 @@
+#include "gateway/entry_state.h"
+
+#include <event2/event.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "gateway/gate.h"
+#include "wire/frame.h"
+
+/* The gate drops a call at the deadline and knows its outcome; its answer is awaited. */
+#define DEADLINE_GRACE_US 30000
+/* A request with less time left is not placed again. */
+#define LEAST_PLACE_US 20000
+/* A second server is tried when the first one has not answered for so many times the mean time
+ * of an answer, and a little more: nearly all answers that come have come by then. */
+#define HEDGE_FACTOR 3.0
+#define HEDGE_EXTRA_US 100000
+/* Weight of one answer in the mean time of an answer: the last 20 or so count. */
+#define ATTEMPT_WEIGHT 0.05
+/* Shortest time after which a refused caller is asked to come back: a few round trips. */
+#define RETRY_AFTER_LEAST_US 50000
+/* A caller that comes back after a refusal must still be served within its target: part of the
+ * target after which it comes. */
+#define RETRY_AFTER_PART 0.25
+
+static void end_attempt(struct snipe_entry_attempt *a, enum snipe_server_outcome outcome)
+{
+	struct snipe_entry_call *call = a->call;
+
+	snipe_placement_record(&call->pool->placement, a->server, snipe_now_us(), outcome);
+	if (a->peer_request)
+		snipe_peer_cancel(call->entry->config.peers, a->peer_request);
+	a->peer_request = 0;
+	call->open--;
+}
+
+/* Drops the attempts that were not answered. One that another server overtook although it began
+ * earlier has probably lost its answer. */
+static void drop_attempts(struct snipe_entry_call *call,
+			  const struct snipe_entry_attempt *answered)
+{
+	for (int i = 0; i < call->placements; i++) {
+		struct snipe_entry_attempt *a = &call->attempts[i];
+
+		if (a->peer_request)
+			end_attempt(a, answered && a->started_us < answered->started_us
+					       ? SNIPE_OUTCOME_TIMEOUT
+					       : SNIPE_OUTCOME_CANCELLED);
+	}
+}
+
+void snipe_entry_call_free(struct snipe_entry_call *call)
+{
+	struct snipe_entry *e = call->entry;
+
+	drop_attempts(call, NULL);
+	if (call->is_limited)
+		snipe_entry_limit_cancel(&call->state->limit);
+	event_del(&call->timer);
+	event_del(&call->hedge);
+	if (call->prev)
+		call->prev->next = call->next;
+	else
+		e->calls = call->next;
+	if (call->next)
+		call->next->prev = call->prev;
+	e->in_flight--;
+	snipe_routing_unref(call->routing);
+	snipe_buffer_finish(&call->failure);
+	snipe_buffer_finish(&call->failure_body);
+	g_free(call);
+}
+
+void snipe_entry_call_log(const struct snipe_entry_call *call, const char *event, int status,
+			  const char *reason, int64_t retry_after_us)
+{
+	static struct snipe_log_limit limits[2];
+	const struct snipe_entry *e = call->entry;
+	int64_t now = snipe_now_us();
+	unsigned suppressed;
+
+	if (!snipe_log_allow(&limits[status >= 400], now, SNIPE_LOG_LINES_PER_S, &suppressed))
+		return;
+	snipe_log(SNIPE_LOG_INFO, event,
+		  "request=%s status=%d reason=%s route=%s service=%s workspace=%s inner=%d "
+		  "server_node=%s placements=%d arrivals=%d took_ms=%lld left_ms=%lld "
+		  "retry_after_ms=%lld tables=%llx tables_age_ms=%lld entry_limit=%.1f "
+		  "in_flight=%d suppressed=%u",
+		  call->request_id, status, reason, call->route ? call->route->name : "",
+		  call->service ? call->service : "",
+		  call->workspace >= 0 ? call->routing->workspaces[call->workspace].name : "",
+		  call->is_inner,
+		  call->placements && call->pool
+			  ? snipe_directory_node_id(call->pool,
+						    call->attempts[call->placements - 1].server)
+			  : "",
+		  call->placements, call->arrivals,
+		  (long long)((now - call->received_us) / 1000),
+		  (long long)((call->deadline_us - now) / 1000),
+		  (long long)(retry_after_us / 1000),
+		  (unsigned long long)(call->routing ? call->routing->version : 0),
+		  (long long)(e->confirmed_us ? (now - e->confirmed_us) / 1000 : -1),
+		  call->state ? call->state->limit.limit : 0.0, e->in_flight, suppressed);
+}
+
+static void add_header(struct snipe_h1_header *h, const char *name, const char *value)
+{
+	h->name.data = name;
+	h->name.len = strlen(name);
+	h->value.data = value;
+	h->value.len = strlen(value);
+}
+
+static void record_latency(struct snipe_entry_call *call, int failed)
+{
+	int64_t now = snipe_now_us();
+
+	if (!call->is_limited)
+		return;
+	call->is_limited = 0;
+	snipe_entry_limit_record(&call->state->limit, now, now - call->received_us, failed,
+				 MIN(call->route->target_latency_us, call->route->timeout_us),
+				 call->route->priority);
+}
+
+/* Ends a call with an answer of the node's own. */
+void snipe_entry_call_reject(struct snipe_entry_call *call,
+			     const struct snipe_entry_rejection *r)
+{
+	struct snipe_entry *e = call->entry;
+	struct snipe_h1_request *req = call->req;
+	struct snipe_h1_header headers[3];
+	struct snipe_h1_response response = {.status = r->status, .headers = headers};
+	const char *request_id = call->request_id;
+	char retry_after[24], body[96];
+
+	snipe_entry_call_log(call, "request_failed", r->status, r->reason, r->retry_after_us);
+	snipe_counters_add(
+		e->config.counters,
+		r->status == 503 || r->status == 429 ? e->count_refused : e->count_failed, 1);
+	if (!call->may_have_run && call->workspace_hash)
+		snipe_fleet_quota_give_back(&e->quota, call->workspace_hash);
+	if (*request_id)
+		add_header(&headers[response.header_count++],
+			   e->config.dialect->headers.request_id, request_id);
+	if (r->retry_after_us > 0) {
+		snprintf(retry_after, sizeof(retry_after), "%.3f",
+			 (double)r->retry_after_us / 1e6);
+		add_header(&headers[response.header_count++], "Retry-After", retry_after);
+	}
+	add_header(&headers[response.header_count++], "Content-Type", "text/plain");
+	response.body = body;
+	response.body_len = (size_t)snprintf(body, sizeof(body), "%s\n", r->reason);
+	response.is_head = req->message.method == HTTP_HEAD;
+	snipe_entry_call_free(call);
+	snipe_h1_respond(req, &response);
+}
+
+void snipe_entry_call_reject_with(struct snipe_entry_call *call, int status, const char *reason,
+				  int64_t retry_after_us)
+{
+	struct snipe_entry_rejection r = {status, reason, retry_after_us};
+
+	snipe_entry_call_reject(call, &r);
+}
+
+/* Spreads those that come back over the time in which they can still be served. */
+static int64_t spread_retry_us(struct snipe_entry_call *call)
+{
+	double most = RETRY_AFTER_PART * (double)call->route->target_latency_us;
+
+	return RETRY_AFTER_LEAST_US + (int64_t)(most * (0.5 + g_rand_double(call->entry->rng)));
+}
+
+/* Refuses a request that certainly has not run. */
+void snipe_entry_call_refuse(struct snipe_entry_call *call, const char *reason)
+{
+	snipe_entry_call_reject_with(call, 503, reason, spread_retry_us(call));
+}
+
+static void complete(struct snipe_entry_call *call, const struct snipe_msg_answer *a,
+		     const char *body, size_t body_len)
+{
+	struct snipe_entry *e = call->entry;
+	struct snipe_h1_request *req = call->req;
+	struct snipe_h1_header headers[SNIPE_MAX_HEADERS];
+	struct snipe_h1_response r = {.status = a->status, .headers = headers};
+	char length[24];
+
+	r.is_head = req->message.method == HTTP_HEAD;
+	for (int i = 0; i < a->header_count; i++) {
+		const struct snipe_header *h = &a->headers[i];
+
+		if (h->name.len == 14 && strncasecmp(h->name.data, "Content-Length", 14) == 0) {
+			snprintf(length, sizeof(length), "%.*s", (int)h->value.len,
+				 h->value.data);
+			r.length = length;
+			continue;
+		}
+		headers[r.header_count].name =
+			(struct snipe_h1_slice){h->name.data, h->name.len};
+		headers[r.header_count].value =
+			(struct snipe_h1_slice){h->value.data, h->value.len};
+		r.header_count++;
+	}
+	r.body = body;
+	r.body_len = body_len;
+	record_latency(call, a->status >= 500);
+	snipe_entry_call_log(call, "request_served", a->status, "served", 0);
+	snipe_counters_add(e->config.counters, e->count_served, 1);
+	if (!call->is_inner)
+		snipe_histogram_add(&e->latency,
+				    (uint64_t)(snipe_now_us() - call->received_us));
+	snipe_entry_call_free(call);
+	snipe_h1_respond(req, &r);
+}
+
+/* Takes over what an answer says of its server. */
+static void report_load(struct snipe_entry_attempt *a, const struct snipe_msg_answer *answer)
+{
+	struct snipe_placement_load load = {answer->load.limit, answer->load.running,
+					    answer->load.waiting, answer->service_us};
+
+	snipe_placement_report(&a->call->pool->placement, a->server, snipe_now_us(), &load);
+}
+
+static void keep_failure(struct snipe_entry_call *call, const struct snipe_message *reply,
+			 const char *body, size_t body_len)
+{
+	struct snipe_message m = *reply;
+
+	m.u.answer.chunk.len = 0;
+	snipe_buffer_clear(&call->failure);
+	snipe_buffer_clear(&call->failure_body);
+	snipe_message_encode(&m, &call->failure);
+	snipe_buffer_append(&call->failure_body, body, body_len);
+}
+
+static int give_kept_failure(struct snipe_entry_call *call)
+{
+	struct snipe_buffer frame = call->failure, body = call->failure_body;
+	struct snipe_decoded d;
+	int ret;
+
+	if (frame.len == 0)
+		return SNIPE_ERR_NOT_FOUND;
+	/* The call is released before the response is written. */
+	snipe_buffer_init(&call->failure);
+	snipe_buffer_init(&call->failure_body);
+	ret = snipe_message_decode(frame.data + SNIPE_FRAME_HEADER,
+				   frame.len - SNIPE_FRAME_HEADER, &d);
+	if (ret == 0) {
+		complete(call, &d.message.u.answer, body.data, body.len);
+		snipe_decoded_finish(&d);
+	}
+	snipe_buffer_finish(&frame);
+	snipe_buffer_finish(&body);
+	return ret;
+}
+
+/* Ends a call whose last placement failed and that is not placed again. */
+static void give_up(struct snipe_entry_call *call)
+{
+	static const struct snipe_entry_rejection unknown = {502, "response_lost", 0};
+	int64_t now = snipe_now_us();
+
+	if (give_kept_failure(call) == 0)
+		return;
+	record_latency(call, 1);
+	if (call->may_have_run && now >= call->deadline_us)
+		snipe_entry_call_reject_with(call, 504, "timeout", 0);
+	else if (call->may_have_run)
+		snipe_entry_call_reject(call, &unknown);
+	else
+		snipe_entry_call_refuse(call, call->last_reason);
+}
+
+/* Whether a failed placement may be followed by another one. */
+static int may_place_again(struct snipe_entry_call *call, int not_run)
+{
+	struct snipe_entry *e = call->entry;
+
+	if (call->placements >= SNIPE_ENTRY_PLACEMENTS ||
+	    call->deadline_us - snipe_now_us() < LEAST_PLACE_US ||
+	    strcmp(call->last_reason, SNIPE_GATE_CRASH_SUSPECT) == 0)
+		return 0;
+	if (!not_run && (!call->route->idempotent || call->is_trial))
+		return 0;
+	/* What no backend server saw costs nothing to send elsewhere. */
+	if (call->arrivals + call->open == 0)
+		return 1;
+	if (call->arrivals + call->open >= call->route->attempts ||
+	    call->deadline_us - snipe_now_us() < (int64_t)call->state->limit.base_us)
+		return 0;
+	if (!snipe_retry_share_take(not_run ? &call->service_state->resends
+					    : &call->service_state->reruns,
+				    e->rng))
+		return 0;
+	snipe_counters_add(e->config.counters, e->count_retries, 1);
+	return 1;
+}
+
+static void placement_failed(struct snipe_entry_call *call, const char *reason, int not_run,
+			     int has_arrived)
+{
+	g_strlcpy(call->last_reason, reason, sizeof(call->last_reason));
+	call->arrivals += has_arrived;
+	if (!not_run)
+		call->may_have_run = 1;
+	/* Another server may still answer. */
+	if (call->open > 0)
+		return;
+	if (may_place_again(call, not_run)) {
+		snipe_entry_call_log(call, "request_placed_again", 0, call->last_reason, 0);
+		snipe_entry_call_place(call);
+	} else {
+		give_up(call);
+	}
+}
+
+static void record_attempt_time(struct snipe_entry_attempt *a)
+{
+	struct snipe_entry_route *s = a->call->state;
+	double took = (double)(snipe_now_us() - a->started_us);
+
+	s->attempt_us = s->attempt_us > 0
+				? s->attempt_us + ATTEMPT_WEIGHT * (took - s->attempt_us)
+				: took;
+}
+
+static void on_response(struct snipe_entry_attempt *a, const struct snipe_message *reply,
+			const char *body, size_t body_len)
+{
+	struct snipe_entry_call *call = a->call;
+	const struct snipe_msg_answer *answer = &reply->u.answer;
+	int is_suspect =
+		snipe_placement_is_suspect(&call->pool->placement, a->server, snipe_now_us());
+
+	end_attempt(a, answer->status >= 500 ? SNIPE_OUTCOME_FAILED : SNIPE_OUTCOME_OK);
+	/* A request that fails everywhere is not the server's fault. */
+	if (answer->status >= 500 && call->route->idempotent && (is_suspect || call->open)) {
+		keep_failure(call, reply, body, body_len);
+		placement_failed(call, "server_failed", 0, 1);
+		return;
+	}
+	if (answer->status < 500) {
+		record_attempt_time(a);
+		snipe_crash_guard_success(call->entry->config.guard, snipe_now_us(),
+					  call->fingerprint);
+	}
+	call->arrivals++;
+	drop_attempts(call, a);
+	complete(call, answer, body, body_len);
+}
+
+static void on_answer(void *arg, int err, const struct snipe_message *reply, const char *body,
+		      size_t body_len)
+{
+	struct snipe_entry_attempt *a = arg;
+	struct snipe_entry_call *call = a->call;
+	const struct snipe_msg_answer *answer;
+	int not_run;
+
+	a->peer_request = 0;
+	if (!err && reply->type != SNIPE_MSG_ANSWER)
+		err = SNIPE_ERR_UNKNOWN;
+	if (err) {
+		not_run = err == SNIPE_ERR_UNAVAILABLE;
+		end_attempt(a, SNIPE_OUTCOME_FAILED);
+		placement_failed(call, not_run ? "node_unreachable" : "node_lost", not_run,
+				 !not_run);
+		return;
+	}
+	answer = &reply->u.answer;
+	report_load(a, answer);
+	if (answer->outcome == SNIPE_ANSWER_COMPLETE) {
+		on_response(a, reply, body, body_len);
+		return;
+	}
+	not_run = answer->outcome == SNIPE_ANSWER_NOT_RUN;
+	end_attempt(a, not_run && !answer->has_arrived ? SNIPE_OUTCOME_REFUSED
+						       : SNIPE_OUTCOME_FAILED);
+	placement_failed(call, answer->reason, not_run, answer->has_arrived);
+}
+
+/* Chooses a server that this call has not tried. */
+static int choose_server(struct snipe_entry_call *call)
+{
+	struct snipe_entry *e = call->entry;
+	int tried[SNIPE_ENTRY_PLACEMENTS];
+
+	call->pool = snipe_directory_pool(e->config.directory, call->service);
+	if (!call->pool)
+		return SNIPE_ERR_NOT_FOUND;
+	for (int i = 0; i < call->placements; i++)
+		tried[i] = call->attempts[i].server;
+	return snipe_placement_choose(&call->pool->placement, snipe_now_us(), e->rng, tried,
+				      call->placements);
+}
+
+static void send_attempt(struct snipe_entry_call *call, int server)
+{
+	struct snipe_entry_attempt *a = &call->attempts[call->placements++];
+	struct snipe_message msg;
+
+	a->call = call;
+	a->server = server;
+	a->started_us = snipe_now_us();
+	call->open++;
+	msg.type = SNIPE_MSG_CALL;
+	memset(&msg.u.call, 0, offsetof(struct snipe_msg_call, headers));
+	msg.u.call.header_count = 0;
+	snipe_entry_fill_message(call, &msg.u.call, a->started_us);
+	a->peer_request = snipe_peer_request(
+		call->entry->config.peers, snipe_directory_address(call->pool, server), &msg,
+		call->req->message.body.data, call->req->message.body.len,
+		call->deadline_us - a->started_us + 2 * DEADLINE_GRACE_US, on_answer, a);
+}
+
+/* Sets the time after which a second server is tried beside the first one: the answer may be
+ * lost, and a caller of a chain waits for it. */
+static void start_hedge(struct snipe_entry_call *call)
+{
+	int64_t wait = (int64_t)(HEDGE_FACTOR * call->state->attempt_us) + HEDGE_EXTRA_US;
+	struct timeval tv = snipe_timeval(wait);
+
+	if (call->route->idempotent && !call->is_trial && call->state->attempt_us > 0)
+		event_add(&call->hedge, &tv);
+}
+
+static void on_hedge(evutil_socket_t fd, short what, void *arg)
+{
+	struct snipe_entry_call *call = arg;
+	int server;
+
+	(void)fd;
+	(void)what;
+	g_strlcpy(call->last_reason, "no_answer_yet", sizeof(call->last_reason));
+	/* The first attempt counts as one that reached its server. */
+	if (call->open != 1 || !may_place_again(call, 0))
+		return;
+	server = choose_server(call);
+	if (server < 0)
+		return;
+	snipe_entry_call_log(call, "request_hedged", 0, call->last_reason, 0);
+	send_attempt(call, server);
+}
+
+void snipe_entry_call_place(struct snipe_entry_call *call)
+{
+	int server = choose_server(call);
+
+	if (server < 0) {
+		if (call->placements == 0)
+			g_strlcpy(call->last_reason, SNIPE_GATE_NO_SERVER,
+				  sizeof(call->last_reason));
+		give_up(call);
+		return;
+	}
+	send_attempt(call, server);
+	start_hedge(call);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct snipe_entry_call *call = arg;
+
+	(void)fd;
+	(void)what;
+	/* The gate would have said so if it had not been sent to the server. */
+	call->may_have_run = 1;
+	for (int i = 0; i < call->placements; i++)
+		if (call->attempts[i].peer_request)
+			end_attempt(&call->attempts[i], SNIPE_OUTCOME_TIMEOUT);
+	give_up(call);
+}
+
+void snipe_entry_call_start_timer(struct snipe_entry_call *call)
+{
+	struct timeval tv =
+		snipe_timeval(call->deadline_us + DEADLINE_GRACE_US - snipe_now_us());
+
+	event_add(&call->timer, &tv);
+}
+
+void snipe_entry_call_init_timers(struct snipe_entry_call *call)
+{
+	struct event_base *base = call->entry->config.base;
+
+	event_assign(&call->timer, base, -1, 0, on_timer, call);
+	event_assign(&call->hedge, base, -1, 0, on_hedge, call);
+}
--- /dev/null
+++ b/libs/gateway/entry_check.c
@@ -0,0 +1,141 @@
+#include "gateway/entry_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/hash.h"
+
+/* A request with a key is refused when the tables were confirmed longer ago than this part of
+ * the time within which a withdrawn key must stop working; the rest is for requests on their
+ * way. */
+#define KEY_TRUST_PART 0.84
+/* An unknown key or route is refused for good only while the tables are this fresh; later it
+ * may exist in a version that this node has not seen. */
+#define FRESH_US 2500000
+/* Tables come within this time of a start, or of the store's return. */
+#define RETRY_AFTER_NO_TABLES_US 500000
+/* Longest time left that is taken as stated: a day. */
+#define MAX_TIME_LEFT_MS 86400000
+/* Fields that the node adds to those of the caller: its service and the workspace. */
+#define ADDED_FIELDS 2
+
+static int64_t key_trust_us(const struct snipe_entry *e)
+{
+	return (int64_t)(KEY_TRUST_PART * (double)e->config.settings->key_revocation_us);
+}
+
+int snipe_entry_is_confirmed(const struct snipe_entry *e, int64_t now_us)
+{
+	return e->confirmed_us && now_us - e->confirmed_us < key_trust_us(e);
+}
+
+/* Returns 0, or a status with its reason. */
+static struct snipe_entry_rejection check_key(struct snipe_entry_call *call)
+{
+	static const struct snipe_entry_rejection accepted;
+	struct snipe_entry *e = call->entry;
+	const struct snipe_h1_message *m = &call->req->message;
+	const char *scheme = e->config.dialect->headers.key_scheme;
+	const char *value = snipe_h1_find(m, "Authorization");
+	size_t len = strlen(scheme);
+	int is_key = value && snipe_h1_count(m, "Authorization") == 1 &&
+		     strncasecmp(value, scheme, len) == 0 && value[len] == ' ';
+	int64_t now = snipe_now_us();
+
+	call->workspace = -1;
+	if (is_key) {
+		value += len;
+		value += strspn(value, " ");
+		call->workspace = snipe_routing_find_key(call->routing, value);
+	}
+	if (!call->routing->needs_keys || call->route->open)
+		return accepted;
+	if (call->workspace < 0 && now - e->confirmed_us > FRESH_US)
+		return (struct snipe_entry_rejection){503, "tables_not_confirmed",
+						      RETRY_AFTER_NO_TABLES_US};
+	if (call->workspace < 0)
+		return (struct snipe_entry_rejection){401,
+						      value ? "key_unknown" : "key_missing", 0};
+	if (!snipe_entry_is_confirmed(e, now))
+		return (struct snipe_entry_rejection){503, "tables_not_confirmed",
+						      RETRY_AFTER_NO_TABLES_US};
+	return accepted;
+}
+
+static struct snipe_entry_rejection check_route(struct snipe_entry_call *call)
+{
+	static const struct snipe_entry_rejection accepted;
+	struct snipe_entry *e = call->entry;
+	const struct snipe_h1_message *m = &call->req->message;
+	const char *host = snipe_h1_find(m, "Host");
+	size_t path_len = strcspn(snipe_buffer_str(&call->req->message.url), "?#");
+
+	/* A server must not get a request without the fields that the node vouches for. */
+	if (m->field_count > SNIPE_MAX_HEADERS - ADDED_FIELDS)
+		return (struct snipe_entry_rejection){431, "too_many_fields", 0};
+	if (!host || snipe_h1_count(m, "Host") != 1 || m->url.len == 0)
+		return (struct snipe_entry_rejection){400, "bad_host", 0};
+	if (!e->routing)
+		return (struct snipe_entry_rejection){503, "no_tables",
+						      RETRY_AFTER_NO_TABLES_US};
+	call->routing = snipe_routing_ref(e->routing);
+	call->route = snipe_routing_match(call->routing, host, m->url.data, path_len);
+	if (!call->route && snipe_now_us() - e->confirmed_us > FRESH_US)
+		return (struct snipe_entry_rejection){503, "tables_not_confirmed",
+						      RETRY_AFTER_NO_TABLES_US};
+	if (!call->route)
+		return (struct snipe_entry_rejection){404, "no_route", 0};
+	return accepted;
+}
+
+/* Sets the deadline from the caller's time and the route's timeout. */
+static struct snipe_entry_rejection check_deadline(struct snipe_entry_call *call)
+{
+	static const struct snipe_entry_rejection accepted;
+	const char *text = snipe_h1_find(&call->req->message,
+					 call->entry->config.dialect->headers.time_left_ms);
+	int64_t left_us = call->route->timeout_us;
+	char *end;
+	long long ms;
+
+	if (text) {
+		ms = strtoll(text, &end, 10);
+		if (end == text || *end || ms < 0)
+			return (struct snipe_entry_rejection){400, "bad_deadline", 0};
+		left_us = MIN(left_us, (int64_t)MIN(ms, MAX_TIME_LEFT_MS) * 1000);
+	}
+	call->deadline_us = call->received_us + left_us;
+	return accepted;
+}
+
+static struct snipe_entry_rejection check_rate(struct snipe_entry_call *call)
+{
+	static const struct snipe_entry_rejection accepted;
+	struct snipe_entry *e = call->entry;
+	int64_t now = snipe_now_us(), retry_after;
+	uint64_t hash;
+
+	if (call->workspace < 0 || call->route->open)
+		return accepted;
+	hash = snipe_hash64_str(call->routing->workspaces[call->workspace].name);
+	if (!snipe_fleet_quota_take(&e->quota, now, hash, &retry_after))
+		return (struct snipe_entry_rejection){429, "over_rate", retry_after};
+	call->workspace_hash = hash;
+	return accepted;
+}
+
+struct snipe_entry_rejection snipe_entry_call_check(struct snipe_entry_call *call)
+{
+	struct snipe_entry_rejection r = check_route(call);
+
+	if (!r.status)
+		r = check_key(call);
+	if (!r.status)
+		r = check_deadline(call);
+	if (!r.status)
+		r = check_rate(call);
+	return r;
+}
--- /dev/null
+++ b/libs/gateway/gate.c
@@ -0,0 +1,811 @@
+#include "gateway/gate.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/hash.h"
+#include "base/log.h"
+
+/* Part of the announced slots that is used: servers slow down when they are nearly full, and a
+ * new connection may hold a slot for a moment. */
+#define SLOT_PART 0.95
+/* Assumed run time before the first response. */
+#define FIRST_SERVICE_US 100000
+/* Weight of one call in the mean run time. */
+#define SERVICE_WEIGHT 0.05
+/* Notices missed before a server that does not respond either is taken for gone. */
+#define MISSED_NOTICES 3
+/* A server that responded within this time lives, whatever its notices do. */
+#define RESPONSE_LIFE_US 1000000
+/* The server stops at the deadline by itself; its own response comes a little later. */
+#define DEADLINE_GRACE_US 15000
+/* A call with less time left is not started: the server could only time out. */
+#define LEAST_RUN_US 5000
+/* Connections that ended within this time before a death was noticed belong to it. */
+#define DEATH_WINDOW_US 3000000
+/* Strikes are reported for this long, so that a lost report does not hide them. */
+#define STRIKE_REPORT_US 3000000
+/* Announcements of a server that left are ignored for this long: those that were held up on
+ * the way have come by then, and a server that still announces itself serves. */
+#define DEPARTURE_MEMORY_US 15000000
+/* Interval of the checks whether the server still announces itself. */
+#define TICK_US 100000
+/* A loop that was held up for so long may find calls that their senders gave up meanwhile:
+ * their time left was counted when they were sent. */
+#define PAUSE_US 400000
+
+struct snipe_gate_call {
+	struct snipe_gate *gate;
+	int handle;
+	struct snipe_peer_origin origin;
+	int has_origin; /* somebody waits for the answer */
+	int is_idempotent;
+	int is_head;
+	int is_trial;	       /* of a request that is suspect of crashing servers */
+	char *request_id;      /* empty: the caller sent none */
+	struct evbuffer *head; /* request line and fields, without the end of the header */
+	struct evbuffer *body;
+	uint64_t fingerprint;
+	int64_t received_us, started_us; /* started_us 0: waiting */
+	int64_t deadline_us;
+	struct snipe_h1_call *http; /* NULL: not running */
+	struct event timer;
+};
+
+static int gate_limit(const struct snipe_gate *g)
+{
+	int limit = (int)(g->server.slots * SLOT_PART);
+
+	if (g->max_connections > 0)
+		limit = MIN(limit, g->max_connections);
+	return MAX(limit, 1);
+}
+
+static int64_t mean_service_us(const struct snipe_gate *g)
+{
+	return g->service_us > 0 ? (int64_t)g->service_us : FIRST_SERVICE_US;
+}
+
+static int is_silent(const struct snipe_gate *g, int64_t now)
+{
+	return now - g->heard_us > MISSED_NOTICES * g->config.settings->announce_interval_us &&
+	       now - g->pool.last_response_us > RESPONSE_LIFE_US;
+}
+
+static int was_paused(const struct snipe_gate *g, int64_t now)
+{
+	return now - g->tick_us > PAUSE_US;
+}
+
+/* Why the server takes no new call now, or NULL if it does. */
+static const char *refusal(const struct snipe_gate *g, int64_t now)
+{
+	if (g->is_stopping)
+		return SNIPE_GATE_DRAINING;
+	if (!g->has_server || g->is_down || is_silent(g, now))
+		return SNIPE_GATE_NO_SERVER;
+	return g->server.state == SNIPE_SERVER_READY ? NULL : SNIPE_GATE_DRAINING;
+}
+
+static void fill_load(const struct snipe_gate *g, struct snipe_msg_answer *a)
+{
+	a->load.limit = gate_limit(g);
+	a->load.running = g->queue.running;
+	a->load.waiting = g->queue.count;
+	a->service_us = (int64_t)g->service_us;
+}
+
+static struct snipe_msg_answer *begin_answer(struct snipe_message *m)
+{
+	memset(m, 0, sizeof(*m));
+	m->type = SNIPE_MSG_ANSWER;
+	return &m->u.answer;
+}
+
+static void reply_failure(struct snipe_gate *g, const struct snipe_peer_origin *to,
+			  enum snipe_answer_outcome outcome, const char *reason,
+			  int has_arrived)
+{
+	struct snipe_message m;
+	struct snipe_msg_answer *a = begin_answer(&m);
+
+	a->outcome = outcome;
+	snprintf(a->reason, sizeof(a->reason), "%s", reason);
+	a->has_arrived = has_arrived;
+	fill_load(g, a);
+	snipe_peer_reply(g->config.peers, to, &m, NULL, 0);
+}
+
+static void log_failure(const struct snipe_gate_call *call, const char *outcome,
+			const char *reason)
+{
+	static struct snipe_log_limit limit;
+	const struct snipe_gate *g = call->gate;
+	unsigned suppressed;
+	int64_t now = snipe_now_us();
+
+	if (!snipe_log_allow(&limit, now, SNIPE_LOG_LINES_PER_S, &suppressed))
+		return;
+	snipe_log(
+		SNIPE_LOG_INFO, "gate_failed",
+		"request=%s outcome=%s reason=%s server=%s origin=%s waited_ms=%lld "
+		"ran_ms=%lld left_ms=%lld running=%d waiting=%d limit=%d notice_age_ms=%lld "
+		"suppressed=%u",
+		call->request_id, outcome, reason, g->server.id, call->origin.node_id,
+		(long long)(((call->started_us ? call->started_us : now) - call->received_us) /
+			    1000),
+		(long long)(call->started_us ? (now - call->started_us) / 1000 : 0),
+		(long long)((call->deadline_us - now) / 1000), g->queue.running, g->queue.count,
+		gate_limit(g), (long long)((now - g->heard_us) / 1000), suppressed);
+}
+
+/* Releases a call that the queue does not count any more. */
+static void free_call(struct snipe_gate_call *call)
+{
+	struct snipe_gate *g = call->gate;
+
+	if (call->http)
+		snipe_h1_call_cancel(call->http);
+	if (call->has_origin)
+		g_hash_table_remove(g->by_origin, &call->origin);
+	event_del(&call->timer);
+	g->calls->pdata[call->handle] = NULL;
+	g->in_flight--;
+	evbuffer_free(call->head);
+	evbuffer_free(call->body);
+	g_free(call->request_id);
+	g_free(call);
+}
+
+static void end_call(struct snipe_gate_call *call)
+{
+	if (call->started_us)
+		snipe_work_queue_done(&call->gate->queue);
+	else
+		snipe_work_queue_cancel(&call->gate->queue, call->handle);
+	free_call(call);
+}
+
+static void fail_call(struct snipe_gate_call *call, enum snipe_answer_outcome outcome,
+		      const char *reason, int has_arrived)
+{
+	struct snipe_gate *g = call->gate;
+	struct snipe_peer_origin to = call->origin;
+	int has_origin = call->has_origin;
+
+	log_failure(call, outcome == SNIPE_ANSWER_NOT_RUN ? "not_run" : "unknown", reason);
+	snipe_counters_add(g->config.counters,
+			   outcome == SNIPE_ANSWER_NOT_RUN ? g->count_refused : g->count_lost,
+			   1);
+	end_call(call);
+	if (has_origin)
+		reply_failure(g, &to, outcome, reason, has_arrived);
+}
+
+static void start_waiting(struct snipe_gate *g);
+
+static void fail_and_continue(struct snipe_gate_call *call, enum snipe_answer_outcome outcome,
+			      const char *reason, int has_arrived)
+{
+	struct snipe_gate *g = call->gate;
+
+	fail_call(call, outcome, reason, has_arrived);
+	start_waiting(g);
+}
+
+static void reject_waiting(struct snipe_gate *g, const char *reason)
+{
+	int handle;
+
+	while ((handle = snipe_work_queue_drop(&g->queue)) >= 0)
+		fail_call(g->calls->pdata[handle], SNIPE_ANSWER_NOT_RUN, reason, 0);
+}
+
+/* Tells the other nodes when the server begins or ends to take calls. */
+static void check_usable(struct snipe_gate *g)
+{
+	const char *reason = refusal(g, snipe_now_us());
+
+	if (g->was_usable == (reason == NULL))
+		return;
+	g->was_usable = reason == NULL;
+	snipe_log(SNIPE_LOG_INFO, "server_usable",
+		  "server=%s usable=%d reason=%s sequence=%llu notice_age_ms=%lld",
+		  g->server.id, g->was_usable, reason ? reason : "announced",
+		  (unsigned long long)g->server.sequence,
+		  (long long)((snipe_now_us() - g->heard_us) / 1000));
+	if (reason)
+		reject_waiting(g, reason);
+	g->config.changed(g->config.arg);
+}
+
+static void add_strike(struct snipe_gate *g, uint64_t fingerprint)
+{
+	if (!snipe_crash_guard_strike(g->config.guard, snipe_now_us(), fingerprint, g->death) ||
+	    g->strike_count == SNIPE_REPORT_MAX_STRIKES)
+		return;
+	g->strikes[g->strike_count].fingerprint = fingerprint;
+	g->strikes[g->strike_count++].death = g->death;
+}
+
+/* One death shows in several ways, one after the other. */
+static int is_new_death(const struct snipe_gate *g)
+{
+	return strcmp(g->dead_id, g->server.id) != 0 || g->dead_born_ms != g->server.born_ms;
+}
+
+/* The server's process ended: requests that ran may have been the cause. */
+static void server_died(struct snipe_gate *g, const char *evidence)
+{
+	int64_t now = snipe_now_us();
+
+	if (now - g->death_us > STRIKE_REPORT_US)
+		g->strike_count = 0;
+	if (now - g->lost_us > DEATH_WINDOW_US)
+		g->lost_count = 0;
+	if (is_new_death(g)) {
+		g->death = snipe_hash64_seed(&now, sizeof(now),
+					     snipe_hash64_str(g->config.settings->node_id));
+		g->dead_born_ms = g->server.born_ms;
+		g_strlcpy(g->dead_id, g->server.id, sizeof(g->dead_id));
+	}
+	g->death_us = now;
+	for (int i = 0; i < g->lost_count; i++)
+		add_strike(g, g->lost[i]);
+	for (guint i = 0; i < g->calls->len; i++) {
+		const struct snipe_gate_call *call = g->calls->pdata[i];
+
+		if (call && call->started_us)
+			add_strike(g, call->fingerprint);
+	}
+	snipe_log(SNIPE_LOG_WARNING, "server_died",
+		  "server=%s evidence=%s running=%d lost=%d strikes=%d", g->server.id, evidence,
+		  g->queue.running, g->lost_count, g->strike_count);
+	g->lost_count = 0;
+}
+
+static void record_lost(struct snipe_gate *g, uint64_t fingerprint)
+{
+	int64_t now = snipe_now_us();
+
+	if (now - g->lost_us > DEATH_WINDOW_US)
+		g->lost_count = 0;
+	g->lost_us = now;
+	if (g->lost_count < SNIPE_REPORT_MAX_STRIKES)
+		g->lost[g->lost_count++] = fingerprint;
+}
+
+static void record_run(struct snipe_gate *g, const struct snipe_gate_call *call)
+{
+	double ran = (double)(snipe_now_us() - call->started_us);
+
+	snipe_histogram_add(&g->run, (uint64_t)ran);
+	g->service_us = g->service_us > 0
+				? g->service_us + SERVICE_WEIGHT * (ran - g->service_us)
+				: ran;
+}
+
+/* Why a complete response is not passed on, or NULL if it is. */
+static const char *response_fault(const struct snipe_gate *g,
+				  const struct snipe_h1_message *response)
+{
+	if (!snipe_h1_find(response, g->config.dialect->headers.signature))
+		return "unsigned";
+	return snipe_h1_find(response, "Content-Encoding") ? "encoded" : NULL;
+}
+
+static void reply_response(struct snipe_gate_call *call, const struct snipe_h1_message *r)
+{
+	struct snipe_gate *g = call->gate;
+	struct snipe_peer_origin to = call->origin;
+	struct snipe_message m;
+	struct snipe_msg_answer *a = begin_answer(&m);
+	int has_origin = call->has_origin;
+
+	a->outcome = SNIPE_ANSWER_COMPLETE;
+	a->status = r->status;
+	a->has_arrived = 1;
+	for (int i = 0; i < r->field_count; i++) {
+		struct snipe_header *h = &a->headers[a->header_count];
+
+		/* The length of a response to HEAD is that of the body which is not sent. */
+		if (snipe_h1_is_hop_by_hop(r, i) &&
+		    !(call->is_head && strcasecmp(snipe_h1_name(r, i), "Content-Length") == 0))
+			continue;
+		h->name.data = snipe_h1_name(r, i);
+		h->name.len = r->fields[i].name_len;
+		h->value.data = snipe_h1_value(r, i);
+		h->value.len = r->fields[i].value_len;
+		a->header_count++;
+	}
+	record_run(g, call);
+	snipe_crash_guard_success(g->config.guard, snipe_now_us(), call->fingerprint);
+	snipe_counters_add(g->config.counters, g->count_complete, 1);
+	end_call(call);
+	start_waiting(g);
+	fill_load(g, a);
+	if (has_origin)
+		snipe_peer_reply(g->config.peers, &to, &m, r->body.data, r->body.len);
+}
+
+static void on_response(struct snipe_gate_call *call, const struct snipe_h1_message *r)
+{
+	struct snipe_gate *g = call->gate;
+	const char *fault;
+
+	if (r->status == 421) {
+		/* Another process has the address; its notice is still to come. */
+		g->is_down = 1;
+		fail_call(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_WRONG_SERVER, 0);
+		check_usable(g);
+	} else if (snipe_h1_find(r, g->config.dialect->headers.not_run)) {
+		fail_and_continue(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_SERVER_REFUSED, 1);
+	} else if ((fault = response_fault(g, r)) != NULL) {
+		fail_and_continue(call, SNIPE_ANSWER_UNKNOWN, fault, 1);
+	} else {
+		reply_response(call, r);
+	}
+}
+
+static void on_http_done(void *arg, enum snipe_h1_result result,
+			 const struct snipe_h1_message *response)
+{
+	struct snipe_gate_call *call = arg;
+	struct snipe_gate *g = call->gate;
+
+	call->http = NULL;
+	switch (result) {
+	case SNIPE_H1_COMPLETE:
+		on_response(call, response);
+		break;
+	case SNIPE_H1_NOT_CONNECTED:
+		if (!g->is_down)
+			server_died(g, "connection_refused");
+		g->is_down = 1;
+		fail_call(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_NO_SERVER, 0);
+		check_usable(g);
+		break;
+	case SNIPE_H1_LOST:
+		record_lost(g, call->fingerprint);
+		/* Other nodes must hear of it before they try the request themselves. */
+		if (call->is_trial) {
+			server_died(g, "trial_lost");
+			g->config.changed(g->config.arg);
+		}
+		fail_and_continue(call, SNIPE_ANSWER_UNKNOWN, SNIPE_GATE_LOST, 1);
+		break;
+	case SNIPE_H1_BROKEN:
+		fail_and_continue(call, SNIPE_ANSWER_UNKNOWN, SNIPE_GATE_BROKEN, 1);
+		break;
+	}
+}
+
+/* A response that bears another request's id came late or twice. */
+static int is_own_response(void *arg, const struct snipe_h1_message *response)
+{
+	struct snipe_gate_call *call = arg;
+	const char *id =
+		snipe_h1_find(response, call->gate->config.dialect->headers.request_id);
+
+	if (!id || !*call->request_id || strcmp(id, call->request_id) == 0)
+		return 1;
+	snipe_log(SNIPE_LOG_WARNING, "response_of_other_request", "request=%s got=%s",
+		  call->request_id, id);
+	return 0;
+}
+
+static const struct snipe_h1_call_ops http_ops = {is_own_response, on_http_done};
+
+static void set_timer(struct snipe_gate_call *call, int64_t at_us)
+{
+	struct timeval tv = snipe_timeval(at_us - snipe_now_us());
+
+	event_add(&call->timer, &tv);
+}
+
+/* Sends a call that the queue counts as running. */
+static void run(struct snipe_gate_call *call)
+{
+	struct snipe_gate *g = call->gate;
+	const struct snipe_header_names *names = &g->config.dialect->headers;
+	int64_t now = snipe_now_us();
+	int64_t left_us = call->deadline_us - now;
+
+	call->started_us = now;
+	snipe_histogram_add(&g->wait, (uint64_t)(now - call->received_us));
+	if (left_us < LEAST_RUN_US) {
+		fail_call(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_EXPIRED, 0);
+		return;
+	}
+	evbuffer_add_printf(call->head, "%s: %lld\r\n%s: %s\r\n\r\n", names->time_left_ms,
+			    (long long)(left_us / 1000), names->expected_server, g->server.id);
+	evbuffer_add_buffer(call->head, call->body);
+	set_timer(call, call->deadline_us + DEADLINE_GRACE_US);
+	call->http = snipe_h1_call_start(&g->pool, call->head, call->is_head, &http_ops, call);
+}
+
+static void start_waiting(struct snipe_gate *g)
+{
+	int64_t now = snipe_now_us();
+	int handle;
+
+	if (refusal(g, now) && g->queue.count > 0) {
+		reject_waiting(g, refusal(g, now));
+		return;
+	}
+	while ((handle = snipe_work_queue_next(&g->queue, now, gate_limit(g))) >= 0)
+		run(g->calls->pdata[handle]);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct snipe_gate_call *call = arg;
+	struct snipe_gate *g = call->gate;
+
+	(void)fd;
+	(void)what;
+	if (!call->started_us) {
+		fail_call(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_OVERLOADED, 0);
+		return;
+	}
+	/* Nothing came back since the call began: its connection, and the idle ones, may have
+	 * stopped carrying data. */
+	if (g->pool.last_response_us < call->started_us)
+		snipe_h1_pool_renew(&g->pool);
+	fail_and_continue(call, SNIPE_ANSWER_UNKNOWN, SNIPE_GATE_TIMEOUT, 1);
+}
+
+static int take_handle(struct snipe_gate *g)
+{
+	for (guint i = 0; i < g->calls->len; i++)
+		if (!g->calls->pdata[i])
+			return (int)i;
+	g_ptr_array_add(g->calls, NULL);
+	return (int)g->calls->len - 1;
+}
+
+static void add_head(struct snipe_gate_call *call, const struct snipe_msg_call *m,
+		     size_t body_len)
+{
+	const char *id_name = call->gate->config.dialect->headers.request_id;
+	const struct snipe_header *value = NULL;
+
+	evbuffer_add_printf(call->head, "%s %.*s HTTP/1.1\r\n", m->method, (int)m->path.len,
+			    m->path.data);
+	for (int i = 0; i < m->header_count; i++) {
+		const struct snipe_header *h = &m->headers[i];
+
+		evbuffer_add(call->head, h->name.data, h->name.len);
+		evbuffer_add(call->head, ": ", 2);
+		evbuffer_add(call->head, h->value.data, h->value.len);
+		evbuffer_add(call->head, "\r\n", 2);
+		if (h->name.len == strlen(id_name) &&
+		    strncasecmp(h->name.data, id_name, h->name.len) == 0)
+			value = h;
+	}
+	call->request_id =
+		value ? g_strndup(value->value.data, value->value.len) : g_strdup("");
+	if (body_len > 0 || strcmp(m->method, "POST") == 0 || strcmp(m->method, "PUT") == 0)
+		evbuffer_add_printf(call->head, "Content-Length: %zu\r\n", body_len);
+}
+
+static struct snipe_gate_call *new_call(struct snipe_gate *g,
+					const struct snipe_peer_origin *from,
+					const struct snipe_msg_call *m, const char *body,
+					size_t body_len)
+{
+	struct snipe_gate_call *call = g_new0(struct snipe_gate_call, 1);
+
+	call->gate = g;
+	call->origin = *from;
+	call->has_origin = 1;
+	call->is_idempotent = m->idempotent;
+	call->is_trial = m->is_trial;
+	call->is_head = strcmp(m->method, "HEAD") == 0;
+	call->fingerprint = m->fingerprint;
+	call->received_us = snipe_now_us();
+	call->deadline_us = call->received_us + m->timeout_us;
+	call->head = evbuffer_new();
+	call->body = evbuffer_new();
+	evbuffer_add(call->body, body, body_len);
+	add_head(call, m, body_len);
+	event_assign(&call->timer, g->config.base, -1, 0, on_timer, call);
+	call->handle = take_handle(g);
+	g->calls->pdata[call->handle] = call;
+	g_hash_table_insert(g->by_origin, &call->origin, call);
+	g->in_flight++;
+	return call;
+}
+
+static void offer(struct snipe_gate_call *call, const struct snipe_msg_call *m)
+{
+	struct snipe_gate *g = call->gate;
+	struct snipe_work work = {call->handle, m->rank, 0};
+
+	work.give_up_us =
+		MIN(call->received_us + m->patience_us, call->deadline_us - LEAST_RUN_US);
+	switch (snipe_work_queue_offer(&g->queue, call->received_us, &work, gate_limit(g),
+				       mean_service_us(g))) {
+	case SNIPE_WORK_RUN:
+		run(call);
+		break;
+	case SNIPE_WORK_QUEUED:
+		set_timer(call, work.give_up_us);
+		break;
+	case SNIPE_WORK_REFUSED:
+		fail_call(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_OVERLOADED, 0);
+		break;
+	}
+}
+
+static void on_call(void *arg, const struct snipe_peer_origin *from,
+		    const struct snipe_message *msg, const char *body, size_t body_len)
+{
+	struct snipe_gate *g = arg;
+	const struct snipe_msg_call *m = &msg->u.call;
+	int64_t now = snipe_now_us();
+	const char *reason = refusal(g, now);
+	struct snipe_gate_call *call = new_call(g, from, m, body, body_len);
+
+	snipe_counters_add(g->config.counters, g->count_received, 1);
+	if (!reason && strcmp(m->pool, g->server.service) != 0)
+		reason = SNIPE_GATE_NO_SERVER;
+	if (!reason && !m->is_trial &&
+	    snipe_crash_guard_is_suspect(g->config.guard, now, m->fingerprint))
+		reason = SNIPE_GATE_CRASH_SUSPECT;
+	if (!reason && was_paused(g, now))
+		reason = SNIPE_GATE_EXPIRED;
+	if (reason)
+		fail_call(call, SNIPE_ANSWER_NOT_RUN, reason, 0);
+	else
+		offer(call, m);
+}
+
+/* Nobody waits for the answer any more. A request that must not be repeated is left to end:
+ * breaking it off would leave its caller in doubt about an effect that is under way. */
+static void on_cancel(void *arg, const struct snipe_peer_origin *from,
+		      const struct snipe_message *msg, const char *body, size_t body_len)
+{
+	struct snipe_gate *g = arg;
+	struct snipe_gate_call *call = g_hash_table_lookup(g->by_origin, from);
+
+	(void)msg;
+	(void)body;
+	(void)body_len;
+	if (!call)
+		return;
+	if (call->started_us && !call->is_idempotent) {
+		g_hash_table_remove(g->by_origin, &call->origin);
+		call->has_origin = 0;
+		return;
+	}
+	end_call(call);
+	start_waiting(g);
+}
+
+static int is_late(const struct snipe_gate *g, const struct snipe_server_notice *n)
+{
+	const struct snipe_server_notice *known = &g->server;
+
+	if (n->state != SNIPE_SERVER_NONE &&
+	    snipe_now_us() - g->departed_us < DEPARTURE_MEMORY_US &&
+	    snipe_departure_covers(&g->departure, n->id, n->born_ms, n->sequence))
+		return 1;
+	if (!g->has_server)
+		return 0;
+	if (strcmp(known->id, n->id) != 0)
+		return n->state == SNIPE_SERVER_NONE ||
+		       (n->born_ms && known->born_ms && n->born_ms < known->born_ms);
+	if (n->born_ms != known->born_ms && n->born_ms && known->born_ms)
+		return n->born_ms < known->born_ms;
+	return n->state != SNIPE_SERVER_NONE && n->sequence <= known->sequence;
+}
+
+static void take_server(struct snipe_gate *g, const struct snipe_server_notice *n)
+{
+	int is_new = !g->has_server || strcmp(g->server.id, n->id) != 0 ||
+		     g->server.born_ms != n->born_ms;
+
+	if (is_new) {
+		if (g->has_server && g->server.state == SNIPE_SERVER_READY)
+			server_died(g, "new_process");
+		snipe_h1_pool_renew(&g->pool);
+		g->service_us = 0;
+		snipe_log(SNIPE_LOG_INFO, "server_announced",
+			  "server=%s born_ms=%lld slots=%d state=%d sequence=%llu", n->id,
+			  (long long)n->born_ms, n->slots, n->state,
+			  (unsigned long long)n->sequence);
+	}
+	g->server = *n;
+	g->has_server = 1;
+	g->is_down = 0;
+	g->heard_us = snipe_now_us();
+	g->cold_until_us = g->heard_us + n->cold_left_us;
+}
+
+/* Keeps the departure that a notice tells, unless it is known already. */
+static void record_departure(struct snipe_gate *g, const struct snipe_server_notice *n)
+{
+	struct snipe_departure d = {"", n->born_ms, n->sequence};
+	int is_known_server = g->has_server && strcmp(g->server.id, n->id) == 0;
+
+	g_strlcpy(d.server_id, n->id, sizeof(d.server_id));
+	if (n->state == SNIPE_SERVER_NONE)
+		d.sequence = SNIPE_DEPARTURE_FINAL;
+	/* A leaving does not state the start; the process that left started before now. */
+	if (!d.born_ms)
+		d.born_ms = is_known_server ? g->server.born_ms : snipe_wall_ms();
+	if (strcmp(g->departure.server_id, d.server_id) == 0 &&
+	    g->departure.born_ms >= d.born_ms &&
+	    (n->state == SNIPE_SERVER_DRAINING ||
+	     g->departure.sequence == SNIPE_DEPARTURE_FINAL))
+		return;
+	g->departure = d;
+	g->departed_us = snipe_now_us();
+	g->config.departed(g->config.arg, &d);
+}
+
+int snipe_gate_notice(struct snipe_gate *g, const struct snipe_server_notice *n,
+		      struct snipe_error_text *err)
+{
+	if (is_late(g, n)) {
+		snipe_log(SNIPE_LOG_INFO, "notice_ignored",
+			  "server=%s state=%d sequence=%llu born_ms=%lld known=%s "
+			  "known_sequence=%llu known_born_ms=%lld",
+			  n->id, n->state, (unsigned long long)n->sequence,
+			  (long long)n->born_ms, g->server.id,
+			  (unsigned long long)g->server.sequence, (long long)g->server.born_ms);
+		return 0;
+	}
+	if (n->state != SNIPE_SERVER_NONE &&
+	    strcmp(n->service, g->config.settings->service) != 0)
+		return snipe_error_set(err, SNIPE_ERR_INVALID,
+				       "the server %s announced the service %s, but this node "
+				       "stands beside %s; announce it to its own node",
+				       n->id, n->service, g->config.settings->service);
+	if (n->state != SNIPE_SERVER_READY)
+		record_departure(g, n);
+	if (n->state == SNIPE_SERVER_NONE)
+		g->has_server = 0;
+	else
+		take_server(g, n);
+	check_usable(g);
+	start_waiting(g);
+	return 0;
+}
+
+void snipe_gate_recall(struct snipe_gate *g, const struct snipe_departure *d)
+{
+	/* This process has heard of a departure itself, which is the later one. */
+	if (*g->departure.server_id)
+		return;
+	g->departure = *d;
+	g->departed_us = snipe_now_us();
+	if (!g->has_server || g->server.state != SNIPE_SERVER_READY ||
+	    !snipe_departure_covers(d, g->server.id, g->server.born_ms, g->server.sequence))
+		return;
+	if (d->sequence == SNIPE_DEPARTURE_FINAL)
+		g->has_server = 0;
+	else
+		g->server.state = SNIPE_SERVER_DRAINING;
+	check_usable(g);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct snipe_gate *g = arg;
+
+	(void)fd;
+	(void)what;
+	g->tick_us = snipe_now_us();
+	check_usable(g);
+	snipe_counters_set(g->config.counters, g->gauge_running, g->queue.running);
+	snipe_counters_set(g->config.counters, g->gauge_waiting, g->queue.count);
+	snipe_counters_set(g->config.counters, g->gauge_limit, gate_limit(g));
+}
+
+static void init_counters(struct snipe_gate *g)
+{
+	struct snipe_counters *c = g->config.counters;
+
+	snipe_histogram_init(&g->wait);
+	snipe_histogram_init(&g->run);
+	g->count_received = snipe_counters_get(c, "gate_calls_total", "");
+	g->count_complete = snipe_counters_get(c, "gate_complete_total", "");
+	g->count_refused = snipe_counters_get(c, "gate_failed_total", "outcome=\"not_run\"");
+	g->count_lost = snipe_counters_get(c, "gate_failed_total", "outcome=\"unknown\"");
+	g->gauge_running = snipe_counters_get(c, "gate_running", "");
+	g->gauge_waiting = snipe_counters_get(c, "gate_waiting", "");
+	g->gauge_limit = snipe_counters_get(c, "gate_limit", "");
+}
+
+void snipe_gate_init(struct snipe_gate *g, const struct snipe_gate_config *config)
+{
+	static const struct timeval tick = {0, TICK_US};
+
+	memset(g, 0, sizeof(*g));
+	g->config = *config;
+	snipe_work_queue_init(&g->queue);
+	snipe_h1_pool_init(&g->pool, config->base);
+	snipe_h1_pool_set_address(&g->pool, &config->settings->backend_server);
+	g->tick_us = snipe_now_us();
+	g->calls = g_ptr_array_new();
+	g->by_origin = g_hash_table_new(snipe_peer_origin_hash, snipe_peer_origin_equal);
+	init_counters(g);
+	event_assign(&g->tick, config->base, -1, EV_PERSIST, on_tick, g);
+	event_add(&g->tick, &tick);
+	snipe_peer_on(config->peers, SNIPE_MSG_CALL, on_call, g);
+	snipe_peer_on(config->peers, SNIPE_MSG_CANCEL, on_cancel, g);
+}
+
+void snipe_gate_finish(struct snipe_gate *g)
+{
+	if (!g->calls)
+		return;
+	snipe_peer_on(g->config.peers, SNIPE_MSG_CALL, NULL, NULL);
+	snipe_peer_on(g->config.peers, SNIPE_MSG_CANCEL, NULL, NULL);
+	for (guint i = 0; i < g->calls->len; i++)
+		if (g->calls->pdata[i])
+			end_call(g->calls->pdata[i]);
+	event_del(&g->tick);
+	snipe_h1_pool_finish(&g->pool);
+	snipe_work_queue_finish(&g->queue);
+	g_hash_table_destroy(g->by_origin);
+	g_ptr_array_free(g->calls, TRUE);
+}
+
+void snipe_gate_set_max_connections(struct snipe_gate *g, int max_connections)
+{
+	g->max_connections = max_connections;
+}
+
+void snipe_gate_stop(struct snipe_gate *g)
+{
+	g->is_stopping = 1;
+	check_usable(g);
+}
+
+int snipe_gate_in_flight(const struct snipe_gate *g)
+{
+	return g->in_flight;
+}
+
+void snipe_gate_fill_report(const struct snipe_gate *g, int64_t now_us,
+			    struct snipe_node_report *r)
+{
+	const char *reason = refusal(g, now_us);
+
+	r->server = !g->has_server ? SNIPE_SERVER_NONE
+		    : reason	   ? SNIPE_SERVER_DRAINING
+				   : SNIPE_SERVER_READY;
+	g_strlcpy(r->server_id, g->has_server ? g->server.id : "", sizeof(r->server_id));
+	r->limit = gate_limit(g);
+	r->running = g->queue.running;
+	r->waiting = g->queue.count;
+	r->service_us = (int64_t)g->service_us;
+	r->cold_left_us = MAX(g->cold_until_us - now_us, 0);
+	r->is_stopping = g->is_stopping;
+	if (now_us - g->death_us > STRIKE_REPORT_US)
+		return;
+	memcpy(r->strikes, g->strikes, sizeof(r->strikes));
+	r->strike_count = g->strike_count;
+}
+
+void snipe_gate_dump(const struct snipe_gate *g, struct snipe_buffer *out)
+{
+	const char *reason = refusal(g, snipe_now_us());
+
+	snipe_buffer_printf(out,
+			    "{\"server\":\"%s\",\"usable\":%s,\"reason\":\"%s\",\"limit\":%d,"
+			    "\"running\":%d,\"waiting\":%d,\"service_us\":%lld,"
+			    "\"connections\":%d,\"notice_age_ms\":%lld}",
+			    g->has_server ? g->server.id : "", reason ? "false" : "true",
+			    reason ? reason : "", gate_limit(g), g->queue.running,
+			    g->queue.count, (long long)g->service_us, g->pool.connection_count,
+			    (long long)((snipe_now_us() - g->heard_us) / 1000));
+}
--- /dev/null
+++ b/libs/gateway/gateway.c
@@ -0,0 +1,670 @@
+#include "gateway/gateway.h"
+
+#include <event2/event.h>
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/log.h"
+#include "gateway/departure_log.h"
+#include "gateway/directory.h"
+#include "gateway/entry.h"
+#include "gateway/gate.h"
+#include "gateway/sync.h"
+#include "h1/server.h"
+#include "node/peer_task.h"
+
+/* After SIGTERM the readiness check fails at once. New work still comes until the check was
+ * asked twice, at intervals of a second. */
+#define STOP_SERVING_US 2600000
+/* Client requests are refused as not run from here on; those taken before have time to end. */
+#define STOP_REFUSE_US 3500000
+/* Other nodes place calls here for this long, so that the restart costs little capacity. */
+#define STOP_GATE_US 2200000
+/* Left of the grace time when the process ends in any case. */
+#define STOP_MARGIN_US 400000
+/* Nothing must have been in flight for this long before the end. */
+#define STOP_IDLE_US 200000
+/* Requests that were found innocent are reported for this long, against lost reports. */
+#define CLEARED_REPORT_US 3000000
+/* Interval of the steps of a stop and of flushing the log; short against the times above. */
+#define TICK_US 100000
+/* Interval at which the settings file is looked at: changes have two seconds to be in force. */
+#define SETTINGS_CHECK_US 1000000
+/* A departure is acknowledged when the store has it, or after this long: backend servers wait a
+ * second for an acknowledgement. */
+#define DEPARTURE_ACK_US 400000
+/* Limits of announcements, checks and counters, which are small and come every few seconds. */
+#define ADMIN_HEAD_BYTES (16 * 1024)
+#define ADMIN_BODY_BYTES (64 * 1024)
+#define ADMIN_IDLE_US 60000000
+#define HEAD_TIMEOUT_US 3000000
+
+struct gateway {
+	struct snipe_gateway_settings settings;
+	const struct snipe_gateway_host *host;
+	struct event_base *base;
+	struct snipe_counters counters;
+	struct snipe_crash_guard guard;
+	struct snipe_peer_task peers;
+	int has_peers;
+	struct snipe_directory directory;
+	struct snipe_object_store *store;
+	struct snipe_entry entry;
+	struct snipe_gate gate;
+	struct snipe_sync sync;
+	struct snipe_departure_log departures;
+	GPtrArray *held_notices; /* requests that wait until the departure is stored */
+	struct snipe_h1_server ready, admin, metrics;
+	struct event *sigterm, *sigint, *sighup, *tick, *ack_timer;
+	struct snipe_routing *routing;
+	int64_t stop_us; /* when the stop began; 0: it did not */
+	int64_t idle_us; /* since when nothing has been in flight; 0: something is */
+	int64_t settings_stamp, settings_checked_us;
+	int was_ready;
+};
+
+static int is_ready(const struct gateway *g)
+{
+	return !g->stop_us && g->routing && snipe_entry_is_confirmed(&g->entry, snipe_now_us());
+}
+
+static void respond_text(struct snipe_h1_request *req, int status, const char *type,
+			 const char *text, size_t len)
+{
+	struct snipe_h1_header header = {{"Content-Type", 12}, {type, strlen(type)}};
+	struct snipe_h1_response r = {
+		.status = status,
+		.headers = &header,
+		.header_count = 1,
+		.body = text,
+		.body_len = len,
+		.is_head = req->message.method == HTTP_HEAD,
+	};
+
+	snipe_h1_respond(req, &r);
+}
+
+static int is_get(struct snipe_h1_request *req, const char *path)
+{
+	return req->message.method == HTTP_GET &&
+	       strcmp(snipe_buffer_str(&req->message.url), path) == 0;
+}
+
+static void on_ready_request(void *arg, struct snipe_h1_request *req)
+{
+	struct gateway *g = arg;
+
+	if (!is_get(req, g->host->dialect->ready_path))
+		respond_text(req, 404, "text/plain", "not found\n", 10);
+	else if (is_ready(g))
+		respond_text(req, 200, "text/plain", "ready\n", 6);
+	else
+		respond_text(req, 503, "text/plain", "not ready\n", 10);
+}
+
+static void print_quantiles(const struct snipe_histogram *h, const char *name,
+			    struct snipe_buffer *out)
+{
+	static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
+
+	snipe_buffer_printf(out, "# TYPE snipescale_%s_us summary\n", name);
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
+		snipe_buffer_printf(
+			out, "snipescale_%s_us{quantile=\"%g\"} %llu\n", name, quantiles[i],
+			(unsigned long long)snipe_histogram_quantile(h, quantiles[i]));
+	snipe_buffer_printf(out, "snipescale_%s_us_sum %llu\nsnipescale_%s_us_count %llu\n",
+			    name, (unsigned long long)h->sum, name,
+			    (unsigned long long)h->total);
+}
+
+static void print_metrics(struct gateway *g, struct snipe_buffer *out)
+{
+	snipe_counters_print(&g->counters, out);
+	print_quantiles(&g->entry.latency, "request_latency", out);
+	print_quantiles(&g->gate.wait, "gate_wait", out);
+	print_quantiles(&g->gate.run, "gate_run", out);
+}
+
+static void print_state(struct gateway *g, struct snipe_buffer *out)
+{
+	snipe_buffer_printf(out, "{\"node\":\"%s\",\"ready\":%s,\"stopping\":%s,\"entry\":",
+			    g->settings.node_id, is_ready(g) ? "true" : "false",
+			    g->stop_us ? "true" : "false");
+	snipe_entry_dump(&g->entry, out);
+	snipe_buffer_printf(out, ",\"gate\":");
+	snipe_gate_dump(&g->gate, out);
+	snipe_buffer_printf(out, ",\"nodes\":");
+	snipe_directory_dump(&g->directory, out);
+	snipe_buffer_printf(out, "}\n");
+}
+
+static void respond_page(struct gateway *g, struct snipe_h1_request *req, const char *type,
+			 void (*print)(struct gateway *, struct snipe_buffer *))
+{
+	struct snipe_buffer out;
+
+	snipe_buffer_init(&out);
+	print(g, &out);
+	respond_text(req, 200, type, out.data, out.len);
+	snipe_buffer_finish(&out);
+}
+
+static void acknowledge(struct gateway *g, struct snipe_h1_request *req)
+{
+	const char *text = g->host->dialect->notice_reply;
+
+	respond_text(req, 200, "application/json", text, strlen(text));
+}
+
+static void acknowledge_held(struct gateway *g)
+{
+	event_del(g->ack_timer);
+	while (g->held_notices->len > 0)
+		acknowledge(g, g_ptr_array_steal_index(g->held_notices, 0));
+}
+
+static void on_ack_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct gateway *g = arg;
+
+	(void)fd;
+	(void)what;
+	snipe_log(SNIPE_LOG_WARNING, "departure_acknowledged_unstored",
+		  "notices=%u store_failures=%d", g->held_notices->len, g->departures.failures);
+	acknowledge_held(g);
+}
+
+/* Once acknowledged, a departure must hold for later processes of this node too. */
+static void hold_notice(struct gateway *g, struct snipe_h1_request *req)
+{
+	struct timeval tv = snipe_timeval(DEPARTURE_ACK_US);
+
+	req->owner = g;
+	g_ptr_array_add(g->held_notices, req);
+	if (!event_pending(g->ack_timer, EV_TIMEOUT, NULL))
+		event_add(g->ack_timer, &tv);
+}
+
+static void on_notice(struct gateway *g, struct snipe_h1_request *req)
+{
+	const struct snipe_dialect *d = g->host->dialect;
+	struct snipe_server_notice notice;
+	struct snipe_error_text err = {""};
+	int ret = d->ops->decode_notice(d, &req->message, &notice, &err);
+
+	if (ret == 0)
+		ret = snipe_gate_notice(&g->gate, &notice, &err);
+	if (ret == 0) {
+		if (snipe_departure_log_is_writing(&g->departures))
+			hold_notice(g, req);
+		else
+			acknowledge(g, req);
+		return;
+	}
+	if (ret != SNIPE_ERR_NOT_FOUND)
+		snipe_log(SNIPE_LOG_WARNING, "notice_rejected", "err=%s reason=\"%s\"",
+			  snipe_error_name(ret), err.text);
+	respond_text(req, ret == SNIPE_ERR_NOT_FOUND ? 404 : 400, "text/plain", err.text,
+		     strlen(err.text));
+}
+
+/* Answers a request for counters or state. Returns 0 if it is another one. */
+static int respond_counters(struct gateway *g, struct snipe_h1_request *req)
+{
+	if (is_get(req, "/metrics"))
+		respond_page(g, req, "text/plain; version=0.0.4", print_metrics);
+	else if (is_get(req, "/state"))
+		respond_page(g, req, "application/json", print_state);
+	else
+		return 0;
+	return 1;
+}
+
+static void on_admin_request(void *arg, struct snipe_h1_request *req)
+{
+	if (!respond_counters(arg, req))
+		on_notice(arg, req);
+}
+
+static void on_cancelled(void *arg, struct snipe_h1_request *req)
+{
+	(void)arg;
+	(void)req;
+}
+
+static void on_notice_cancelled(void *arg, struct snipe_h1_request *req)
+{
+	struct gateway *g = arg;
+
+	g_ptr_array_remove(g->held_notices, req);
+}
+
+static void on_metrics_request(void *arg, struct snipe_h1_request *req)
+{
+	if (!respond_counters(arg, req))
+		respond_text(req, 404, "text/plain", "not found\n", 10);
+}
+
+static const struct snipe_h1_server_ops metrics_ops = {on_metrics_request, on_cancelled};
+static const struct snipe_h1_server_ops ready_ops = {on_ready_request, on_cancelled};
+static const struct snipe_h1_server_ops admin_ops = {on_admin_request, on_notice_cancelled};
+
+static void on_newer_tables(void *arg, const struct snipe_address *from, uint64_t version)
+{
+	struct gateway *g = arg;
+
+	snipe_sync_offer(&g->sync, from, version);
+}
+
+static void on_fill_report(void *arg, int64_t now_us, struct snipe_node_report *report)
+{
+	struct gateway *g = arg;
+
+	g->entry.quota.interval_us = snipe_directory_interval_us(&g->directory);
+	report->routing_version = g->routing ? g->routing->version : 0;
+	snipe_gate_fill_report(&g->gate, now_us, report);
+	report->cleared_count = snipe_crash_guard_cleared(&g->guard, now_us - CLEARED_REPORT_US,
+							  report->cleared, SNIPE_CRASH_CLEARED);
+	report->quota_count = snipe_fleet_quota_report(&g->entry.quota, now_us, report->quotas,
+						       SNIPE_REPORT_MAX_QUOTAS);
+}
+
+static void on_reported(void *arg, int64_t now_us, const struct snipe_node_report *r)
+{
+	struct gateway *g = arg;
+
+	snipe_fleet_quota_peer(&g->entry.quota, now_us, snipe_hash64_str(r->node_id),
+			       r->process, r->quotas, r->quota_count);
+	for (int i = 0; i < r->strike_count; i++)
+		snipe_crash_guard_strike(&g->guard, now_us, r->strikes[i].fingerprint,
+					 r->strikes[i].death);
+	for (int i = 0; i < r->cleared_count; i++)
+		snipe_crash_guard_clear(&g->guard, r->cleared[i]);
+}
+
+static void on_fill_confirm(void *arg, int64_t now_us, uint64_t *routing_version,
+			    int64_t *age_us)
+{
+	struct gateway *g = arg;
+
+	*routing_version = g->routing ? g->routing->version : 0;
+	*age_us = g->entry.confirmed_us ? now_us - g->entry.confirmed_us : -1;
+}
+
+/* Tables older than those of the other node are not confirmed but fetched. */
+static void on_peer_confirmed(void *arg, const struct snipe_address *from,
+			      uint64_t routing_version, int64_t confirmed_us)
+{
+	struct gateway *g = arg;
+
+	if (g->routing && routing_version <= g->routing->version)
+		snipe_entry_confirm(&g->entry, confirmed_us);
+	else
+		snipe_sync_offer(&g->sync, from, routing_version);
+}
+
+static const struct snipe_directory_ops directory_ops = {
+	.newer_tables = on_newer_tables,
+	.fill_report = on_fill_report,
+	.fill_confirm = on_fill_confirm,
+	.confirmed = on_peer_confirmed,
+	.reported = on_reported,
+};
+
+static void on_tables(void *arg, struct snipe_routing *routing)
+{
+	struct gateway *g = arg;
+	const struct snipe_gateway_service *service =
+		snipe_routing_find_service(routing, g->settings.service);
+
+	snipe_routing_unref(g->routing);
+	g->routing = snipe_routing_ref(routing);
+	snipe_entry_set_routing(&g->entry, routing);
+	snipe_gate_set_max_connections(&g->gate, service ? service->max_connections : 0);
+	snipe_directory_publish(&g->directory);
+}
+
+static void on_confirmed(void *arg, int64_t sent_us)
+{
+	struct gateway *g = arg;
+
+	snipe_entry_confirm(&g->entry, sent_us);
+}
+
+static int64_t on_confirmed_us(void *arg)
+{
+	struct gateway *g = arg;
+
+	return g->entry.confirmed_us;
+}
+
+static void on_gate_changed(void *arg)
+{
+	struct gateway *g = arg;
+
+	snipe_directory_publish(&g->directory);
+}
+
+static void on_gate_departed(void *arg, const struct snipe_departure *d)
+{
+	struct gateway *g = arg;
+
+	snipe_departure_log_record(&g->departures, d);
+}
+
+static void on_departure_recalled(void *arg, const struct snipe_departure *d)
+{
+	struct gateway *g = arg;
+
+	snipe_gate_recall(&g->gate, d);
+}
+
+static void on_departure_written(void *arg)
+{
+	acknowledge_held(arg);
+}
+
+static void begin_stop(struct gateway *g, const char *cause)
+{
+	if (g->stop_us)
+		return;
+	g->stop_us = snipe_now_us();
+	snipe_log(SNIPE_LOG_INFO, "stop_begun", "cause=%s requests=%d gate_calls=%d", cause,
+		  snipe_entry_in_flight(&g->entry), snipe_gate_in_flight(&g->gate));
+	snipe_h1_server_close_gracefully(&g->entry.server);
+}
+
+static void on_stop_signal(evutil_socket_t sig, short what, void *arg)
+{
+	(void)what;
+	begin_stop(arg, sig == SIGTERM ? "sigterm" : "sigint");
+}
+
+/* Takes over what can change while the node runs. */
+static void reload(struct gateway *g, const char *cause)
+{
+	struct snipe_gateway_settings s = g->settings;
+	struct snipe_error_text err = {""};
+	int ret = g->host->reload(g->host->arg, &s, &err);
+
+	if (ret < 0) {
+		snipe_log(SNIPE_LOG_ERROR, "settings_rejected", "cause=%s err=\"%s\"", cause,
+			  err.text);
+		return;
+	}
+	if (!snipe_address_equal(&s.store, &g->settings.store))
+		g->host->move_store(g->host->arg, &s.store);
+	if (!snipe_address_equal(&s.caller_listen, &g->settings.caller_listen) ||
+	    !snipe_address_equal(&s.peer_listen, &g->settings.peer_listen) ||
+	    !snipe_address_equal(&s.backend_server, &g->settings.backend_server) ||
+	    strcmp(s.service, g->settings.service) != 0)
+		snipe_log(SNIPE_LOG_WARNING, "settings_need_restart",
+			  "cause=%s remedy=\"restart the node to use its new addresses\"",
+			  cause);
+	g->settings.store = s.store;
+	g->settings.announce_interval_us = s.announce_interval_us;
+	g->settings.key_revocation_us = s.key_revocation_us;
+	g->settings.stop_grace_us = s.stop_grace_us;
+	g->settings.retry_ratio = s.retry_ratio;
+	g->settings.retry_slack = s.retry_slack;
+	snipe_log(SNIPE_LOG_INFO, "settings_reloaded", "cause=%s", cause);
+}
+
+static void on_reload_signal(evutil_socket_t sig, short what, void *arg)
+{
+	(void)sig;
+	(void)what;
+	reload(arg, "sighup");
+}
+
+static void check_settings(struct gateway *g, int64_t now)
+{
+	int64_t stamp;
+
+	if (now - g->settings_checked_us < SETTINGS_CHECK_US)
+		return;
+	g->settings_checked_us = now;
+	stamp = g->host->settings_stamp(g->host->arg);
+	if (stamp == g->settings_stamp)
+		return;
+	g->settings_stamp = stamp;
+	reload(g, "file_changed");
+}
+
+static int is_idle(const struct gateway *g)
+{
+	return snipe_entry_in_flight(&g->entry) == 0 && snipe_gate_in_flight(&g->gate) == 0 &&
+	       !snipe_h1_server_is_busy(&g->entry.server);
+}
+
+static void continue_stop(struct gateway *g, int64_t now)
+{
+	int64_t since = now - g->stop_us;
+
+	if (since >= STOP_GATE_US && !g->gate.is_stopping)
+		snipe_gate_stop(&g->gate);
+	if (!is_idle(g))
+		g->idle_us = 0;
+	else if (!g->idle_us)
+		g->idle_us = now;
+	/* The checks have failed; what still comes would be cut off by the end. */
+	if (since >= STOP_REFUSE_US)
+		g->entry.is_stopping = 1;
+	if (since >= STOP_SERVING_US)
+		snipe_h1_server_close_idle(&g->entry.server);
+	if ((since >= STOP_SERVING_US && g->idle_us && now - g->idle_us >= STOP_IDLE_US) ||
+	    since >= g->settings.stop_grace_us - STOP_MARGIN_US)
+		event_base_loopbreak(g->base);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct gateway *g = arg;
+	int64_t now = snipe_now_us();
+	int ready = is_ready(g);
+
+	(void)fd;
+	(void)what;
+	if (ready != g->was_ready)
+		snipe_log(SNIPE_LOG_INFO, "readiness",
+			  "ready=%d stopping=%d tables=%llx "
+			  "confirmed_age_ms=%lld",
+			  ready, g->stop_us != 0,
+			  (unsigned long long)(g->routing ? g->routing->version : 0),
+			  (long long)((now - g->entry.confirmed_us) / 1000));
+	g->was_ready = ready;
+	snipe_counters_set(&g->counters, g->entry.gauge_in_flight, g->entry.in_flight);
+	if (g->stop_us)
+		continue_stop(g, now);
+	else
+		check_settings(g, now);
+	snipe_log_flush();
+}
+
+static int init_servers(struct gateway *g, struct snipe_error_text *err)
+{
+	static const struct snipe_h1_limits limits = {ADMIN_HEAD_BYTES, ADMIN_BODY_BYTES,
+						      HEAD_TIMEOUT_US, ADMIN_IDLE_US};
+	int ret = snipe_h1_server_init(&g->ready, g->base, &g->settings.ready_listen,
+				       "readiness checks", &ready_ops, g, err);
+
+	if (ret == 0)
+		ret = snipe_h1_server_init(&g->admin, g->base, &g->settings.admin_listen,
+					   "announcements", &admin_ops, g, err);
+	if (ret == 0)
+		ret = snipe_h1_server_init(&g->metrics, g->base, &g->settings.metrics_listen,
+					   "counters", &metrics_ops, g, err);
+	g->ready.limits = g->admin.limits = g->metrics.limits = limits;
+	return ret;
+}
+
+static int init_peers(struct gateway *g, uint64_t process, struct snipe_error_text *err)
+{
+	struct snipe_peer_config config = {
+		.base = g->base,
+		.listen = g->settings.peer_listen,
+		.node_id = g->settings.node_id,
+		.process = process,
+		.secret = "",
+	};
+	int ret = snipe_peer_task_init(&g->peers, &config, err);
+
+	g->has_peers = ret == 0;
+	if (ret == 0)
+		ret = snipe_directory_init(&g->directory, g->base, &g->settings, process,
+					   &directory_ops, g, err);
+	return ret;
+}
+
+static int init_call_path(struct gateway *g, struct snipe_error_text *err)
+{
+	struct snipe_gate_config gate = {
+		.base = g->base,
+		.settings = &g->settings,
+		.dialect = g->host->dialect,
+		.peers = &g->peers,
+		.counters = &g->counters,
+		.guard = &g->guard,
+		.changed = on_gate_changed,
+		.departed = on_gate_departed,
+		.arg = g,
+	};
+	struct snipe_entry_config entry = {
+		.base = g->base,
+		.settings = &g->settings,
+		.dialect = g->host->dialect,
+		.peers = &g->peers,
+		.directory = &g->directory,
+		.guard = &g->guard,
+		.counters = &g->counters,
+	};
+
+	snipe_gate_init(&g->gate, &gate);
+	return snipe_entry_init(&g->entry, &entry, err);
+}
+
+static void init_sync(struct gateway *g)
+{
+	struct snipe_sync_config config = {
+		.base = g->base,
+		.settings = &g->settings,
+		.dialect = g->host->dialect,
+		.peers = &g->peers,
+		.directory = &g->directory,
+		.counters = &g->counters,
+		.tables = on_tables,
+		.confirmed = on_confirmed,
+		.confirmed_us = on_confirmed_us,
+		.arg = g,
+	};
+
+	g->store = g->host->open_store(g->host->arg, g->base, &g->settings.store);
+	config.store = g->store;
+	snipe_sync_init(&g->sync, &config);
+}
+
+static void init_departures(struct gateway *g)
+{
+	struct snipe_departure_log_config config = {
+		.base = g->base,
+		.store = g->store,
+		.kind = g->host->dialect->departures_kind,
+		.node_id = g->settings.node_id,
+		.is_first_start = g->settings.is_first_start,
+		.recalled = on_departure_recalled,
+		.written = on_departure_written,
+		.arg = g,
+	};
+
+	snipe_departure_log_init(&g->departures, &config);
+}
+
+static void finish(struct gateway *g)
+{
+	snipe_departure_log_finish(&g->departures);
+	snipe_sync_finish(&g->sync);
+	snipe_entry_finish(&g->entry);
+	snipe_gate_finish(&g->gate);
+	snipe_h1_server_finish(&g->metrics);
+	snipe_h1_server_finish(&g->admin);
+	snipe_h1_server_finish(&g->ready);
+	snipe_directory_finish(&g->directory);
+	if (g->store)
+		g->store->ops->finish(g->store);
+	if (g->has_peers)
+		snipe_peer_task_finish(&g->peers);
+	snipe_routing_unref(g->routing);
+}
+
+static struct event *add_signal(struct gateway *g, int sig, event_callback_fn cb)
+{
+	struct event *e = evsignal_new(g->base, sig, cb, g);
+
+	event_add(e, NULL);
+	return e;
+}
+
+static void run_loop(struct gateway *g)
+{
+	static const struct timeval tick = {0, TICK_US};
+
+	signal(SIGPIPE, SIG_IGN);
+	g->sigterm = add_signal(g, SIGTERM, on_stop_signal);
+	g->sigint = add_signal(g, SIGINT, on_stop_signal);
+	g->sighup = add_signal(g, SIGHUP, on_reload_signal);
+	g->tick = event_new(g->base, -1, EV_PERSIST, on_tick, g);
+	event_add(g->tick, &tick);
+	event_base_dispatch(g->base);
+	event_free(g->tick);
+	event_free(g->sighup);
+	event_free(g->sigint);
+	event_free(g->sigterm);
+}
+
+int snipe_gateway_run(const struct snipe_gateway_settings *settings,
+		      const struct snipe_gateway_host *host, struct snipe_error_text *err)
+{
+	struct gateway *g = g_new0(struct gateway, 1);
+	uint64_t process = (uint64_t)snipe_wall_ms();
+	char callers[SNIPE_ADDRESS_TEXT];
+	int ret;
+
+	g->settings = *settings;
+	g->host = host;
+	g->base = event_base_new();
+	g->held_notices = g_ptr_array_new();
+	g->ack_timer = event_new(g->base, -1, 0, on_ack_timer, g);
+	snipe_counters_init(&g->counters);
+	snipe_crash_guard_init(&g->guard);
+	g->settings_stamp = host->settings_stamp(host->arg);
+	ret = init_peers(g, process, err);
+	if (ret == 0)
+		ret = init_call_path(g, err);
+	if (ret == 0)
+		ret = init_servers(g, err);
+	if (ret == 0) {
+		snipe_address_format(&settings->caller_listen, callers);
+		snipe_log(SNIPE_LOG_INFO, "started",
+			  "node=%s process=%llu failure_domain=%s service=%s callers=%s "
+			  "first_start=%d",
+			  settings->node_id, (unsigned long long)process,
+			  settings->failure_domain, settings->service, callers,
+			  settings->is_first_start);
+		init_sync(g);
+		init_departures(g);
+		run_loop(g);
+		snipe_log(SNIPE_LOG_INFO, "stopped", "node=%s requests=%d gate_calls=%d",
+			  settings->node_id, snipe_entry_in_flight(&g->entry),
+			  snipe_gate_in_flight(&g->gate));
+	}
+	finish(g);
+	g_ptr_array_free(g->held_notices, TRUE);
+	event_free(g->ack_timer);
+	event_base_free(g->base);
+	g_free(g);
+	snipe_log_flush();
+	return ret;
+}
--- /dev/null
+++ b/libs/h1/h1.h
@@ -0,0 +1,12 @@
+/*
+ * libs/h1: HTTP/1.1 on bufferevents. evhttp reads one request at a time and reports a caller's
+ * leaving late, so listeners that need pipelining and cancellation use this library.
+ */
+#ifndef SNIPE_H1_H
+#define SNIPE_H1_H
+
+#include "h1/message.h"
+#include "h1/pool.h"
+#include "h1/server.h"
+
+#endif
--- /dev/null
+++ b/libs/h1/message.c
@@ -0,0 +1,273 @@
+#include "h1/message.h"
+
+#include <string.h>
+#include <strings.h>
+
+void snipe_h1_message_init(struct snipe_h1_message *m)
+{
+	memset(m, 0, sizeof(*m));
+	snipe_buffer_init(&m->url);
+	snipe_buffer_init(&m->text);
+	snipe_buffer_init(&m->body);
+}
+
+void snipe_h1_message_finish(struct snipe_h1_message *m)
+{
+	snipe_buffer_finish(&m->url);
+	snipe_buffer_finish(&m->text);
+	snipe_buffer_finish(&m->body);
+}
+
+void snipe_h1_message_clear(struct snipe_h1_message *m)
+{
+	m->method = m->status = m->keep_alive = m->ends_with_connection = 0;
+	m->field_count = 0;
+	snipe_buffer_clear(&m->url);
+	snipe_buffer_clear(&m->text);
+	snipe_buffer_clear(&m->body);
+}
+
+const char *snipe_h1_name(const struct snipe_h1_message *m, int field)
+{
+	return m->text.data + m->fields[field].name;
+}
+
+const char *snipe_h1_value(const struct snipe_h1_message *m, int field)
+{
+	return m->text.data + m->fields[field].value;
+}
+
+static int find_field(const struct snipe_h1_message *m, const char *name, int from)
+{
+	for (int i = from; i < m->field_count; i++)
+		if (strcasecmp(snipe_h1_name(m, i), name) == 0)
+			return i;
+	return -1;
+}
+
+const char *snipe_h1_find(const struct snipe_h1_message *m, const char *name)
+{
+	int i = find_field(m, name, 0);
+
+	return i < 0 ? NULL : snipe_h1_value(m, i);
+}
+
+int snipe_h1_count(const struct snipe_h1_message *m, const char *name)
+{
+	int n = 0;
+
+	for (int i = find_field(m, name, 0); i >= 0; i = find_field(m, name, i + 1))
+		n++;
+	return n;
+}
+
+/* Whether a comma-separated list names a token. */
+static int list_names(const char *list, const char *token)
+{
+	size_t len = strlen(token);
+
+	while (*list) {
+		size_t n;
+
+		list += strspn(list, " \t,");
+		n = strcspn(list, ",");
+		if (n >= len && strncasecmp(list, token, len) == 0 &&
+		    strspn(list + len, " \t") == n - len)
+			return 1;
+		list += n;
+	}
+	return 0;
+}
+
+int snipe_h1_is_hop_by_hop(const struct snipe_h1_message *m, int field)
+{
+	static const char *const names[] = {
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Connection",
+		"Proxy-Authenticate",
+		"TE",
+		"Transfer-Encoding",
+		"Trailer",
+		"Upgrade",
+		"Expect",
+		"Content-Length",
+		"Proxy-Authorization",
+	};
+	const char *name = snipe_h1_name(m, field);
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (strcasecmp(name, names[i]) == 0)
+			return 1;
+	for (int i = find_field(m, "Connection", 0); i >= 0;
+	     i = find_field(m, "Connection", i + 1))
+		if (list_names(snipe_h1_value(m, i), name))
+			return 1;
+	return 0;
+}
+
+static int fail(struct snipe_h1_parser *p, enum snipe_h1_parse_result result)
+{
+	p->result = result;
+	return -1;
+}
+
+static int count_head(struct snipe_h1_parser *p, size_t len)
+{
+	p->head_bytes += len;
+	return p->head_bytes > p->max_head_bytes ? fail(p, SNIPE_H1_HEAD_LIMIT) : 0;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	struct snipe_h1_parser *p = (struct snipe_h1_parser *)parser;
+
+	snipe_buffer_append(&p->message->url, at, len);
+	return count_head(p, len);
+}
+
+/* Ends the value that was being read. */
+static void end_value(struct snipe_h1_parser *p)
+{
+	if (p->in_value)
+		snipe_buffer_append(&p->message->text, "", 1);
+	p->in_value = 0;
+}
+
+static int on_name(http_parser *parser, const char *at, size_t len)
+{
+	struct snipe_h1_parser *p = (struct snipe_h1_parser *)parser;
+	struct snipe_h1_message *m = p->message;
+	struct snipe_h1_field *f;
+
+	/* Trailers are dropped. */
+	if (p->has_head)
+		return 0;
+	if (memchr(at, ' ', len))
+		return fail(p, SNIPE_H1_MALFORMED);
+	if (p->in_value || m->field_count == 0) {
+		end_value(p);
+		if (m->field_count == SNIPE_H1_MAX_FIELDS)
+			return fail(p, SNIPE_H1_HEAD_LIMIT);
+		f = &m->fields[m->field_count++];
+		memset(f, 0, sizeof(*f));
+		f->name = (uint32_t)m->text.len;
+	}
+	f = &m->fields[m->field_count - 1];
+	snipe_buffer_append(&m->text, at, len);
+	f->name_len += (uint32_t)len;
+	return count_head(p, len);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct snipe_h1_parser *p = (struct snipe_h1_parser *)parser;
+	struct snipe_h1_message *m = p->message;
+	struct snipe_h1_field *f = &m->fields[m->field_count - 1];
+
+	if (p->has_head)
+		return 0;
+	if (memchr(at, '\0', len))
+		return fail(p, SNIPE_H1_MALFORMED);
+	if (!p->in_value) {
+		snipe_buffer_append(&m->text, "", 1);
+		f->value = (uint32_t)m->text.len;
+		p->in_value = 1;
+	}
+	snipe_buffer_append(&m->text, at, len);
+	f->value_len += (uint32_t)len;
+	return count_head(p, len);
+}
+
+static int on_head(http_parser *parser)
+{
+	struct snipe_h1_parser *p = (struct snipe_h1_parser *)parser;
+	struct snipe_h1_message *m = p->message;
+
+	end_value(p);
+	p->has_head = 1;
+	m->method = (int)parser->method;
+	m->status = parser->status_code;
+	m->ends_with_connection = parser->type == HTTP_RESPONSE && !p->no_body &&
+				  m->status >= 200 && m->status != 204 && m->status != 304 &&
+				  !(parser->flags & F_CHUNKED) &&
+				  parser->content_length == UINT64_MAX;
+	if (snipe_h1_count(m, "Content-Length") > 1 ||
+	    (snipe_h1_count(m, "Content-Length") && snipe_h1_count(m, "Transfer-Encoding")) ||
+	    snipe_h1_count(m, "Transfer-Encoding") > 1) {
+		fail(p, SNIPE_H1_MALFORMED);
+		return -1;
+	}
+	if (parser->content_length != UINT64_MAX &&
+	    parser->content_length > p->max_body_bytes) {
+		fail(p, SNIPE_H1_BODY_LIMIT);
+		return -1;
+	}
+	return p->no_body;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct snipe_h1_parser *p = (struct snipe_h1_parser *)parser;
+
+	if (p->message->body.len + len > p->max_body_bytes)
+		return fail(p, SNIPE_H1_BODY_LIMIT);
+	snipe_buffer_append(&p->message->body, at, len);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	struct snipe_h1_parser *p = (struct snipe_h1_parser *)parser;
+
+	p->message->keep_alive = http_should_keep_alive(parser);
+	p->result = SNIPE_H1_DONE;
+	/* The bytes that follow belong to the next message. */
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_url,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void snipe_h1_parser_init(struct snipe_h1_parser *p, struct snipe_h1_message *message,
+			  int is_request, int no_body, size_t max_head_bytes,
+			  size_t max_body_bytes)
+{
+	memset(p, 0, sizeof(*p));
+	http_parser_init(&p->parser, is_request ? HTTP_REQUEST : HTTP_RESPONSE);
+	p->message = message;
+	p->no_body = no_body;
+	p->max_head_bytes = max_head_bytes;
+	p->max_body_bytes = max_body_bytes;
+	p->result = SNIPE_H1_MORE;
+}
+
+enum snipe_h1_parse_result snipe_h1_parser_feed(struct snipe_h1_parser *p, const char *data,
+						size_t len, size_t *consumed)
+{
+	*consumed = 0;
+	if (p->result != SNIPE_H1_MORE || len == 0)
+		return p->result;
+	p->has_begun = 1;
+	*consumed = http_parser_execute(&p->parser, &callbacks, data, len);
+	if (p->result == SNIPE_H1_MORE && HTTP_PARSER_ERRNO(&p->parser) != HPE_OK)
+		p->result = SNIPE_H1_MALFORMED;
+	/* An upgrade is not supported; its bytes must not be read as a request. */
+	if (p->result == SNIPE_H1_DONE && p->parser.upgrade)
+		p->result = SNIPE_H1_MALFORMED;
+	return p->result;
+}
+
+enum snipe_h1_parse_result snipe_h1_parser_end(struct snipe_h1_parser *p)
+{
+	if (p->result == SNIPE_H1_MORE && p->has_head)
+		http_parser_execute(&p->parser, &callbacks, NULL, 0);
+	return p->result == SNIPE_H1_MORE ? SNIPE_H1_MALFORMED : p->result;
+}
--- /dev/null
+++ b/libs/h1/server.c
@@ -0,0 +1,456 @@
+#include "h1/server.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
+#include "base/socket.h"
+
+/* Interval at which connections are checked for timeouts. */
+#define SWEEP_US 500000
+/* Requests of one connection that may wait for their answers; further bytes stay unread. */
+#define PIPELINE_MAX 64
+/* Bytes a slow reader may leave unread before its further requests are held back. */
+#define OUTPUT_HIGH_BYTES (1024 * 1024)
+/* After the last response, how long the caller may take to close its side. Closing with unread
+ * bytes would reset the connection and could destroy the response on its way. */
+#define LINGER_US 1000000
+/* Connections that wait to be accepted: callers of a machine that return all at once. */
+#define LISTEN_BACKLOG 1024
+
+struct snipe_h1_connection {
+	struct snipe_h1_server *server;
+	struct snipe_h1_connection *prev, *next;
+	struct bufferevent *bev;
+	struct snipe_h1_parser parser;
+	struct snipe_h1_request *reading; /* the request being read */
+	struct snipe_h1_request *first, *last;
+	int waiting; /* requests from first to last */
+	int is_handling;
+	int is_freed;
+	int no_more_requests;  /* a response closes the connection, or bytes were malformed */
+	int64_t read_since_us; /* when the request being read began; 0: none has */
+	int64_t active_us;
+	int64_t linger_until_us; /* 0: not lingering */
+};
+
+static void free_request(struct snipe_h1_request *req)
+{
+	snipe_h1_message_finish(&req->message);
+	if (req->response)
+		evbuffer_free(req->response);
+	g_free(req);
+}
+
+/* Frees the requests that were read, answered or not. */
+static void free_requests(struct snipe_h1_connection *c)
+{
+	while (c->first) {
+		struct snipe_h1_request *req = c->first;
+
+		c->first = req->next;
+		free_request(req);
+	}
+	c->last = NULL;
+	c->waiting = 0;
+}
+
+static void release(struct snipe_h1_connection *c)
+{
+	struct snipe_h1_server *s = c->server;
+
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		s->connections = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	s->connection_count--;
+	free_requests(c);
+	if (c->reading)
+		free_request(c->reading);
+	bufferevent_free(c->bev);
+	g_free(c);
+}
+
+static void cancel_requests(struct snipe_h1_connection *c)
+{
+	for (struct snipe_h1_request *req = c->first; req; req = req->next)
+		if (!req->response && req->owner)
+			c->server->ops->cancelled(c->server->arg, req);
+}
+
+static void close_connection(struct snipe_h1_connection *c)
+{
+	/* The connection is in use further up the stack, which releases it. */
+	if (c->is_handling) {
+		c->is_freed = 1;
+		return;
+	}
+	c->is_handling = 1;
+	cancel_requests(c);
+	release(c);
+}
+
+static const char *status_text(int status)
+{
+	switch (status) {
+#define STATUS(num, name, string) \
+	case num:                 \
+		return #string;
+		HTTP_STATUS_MAP(STATUS)
+#undef STATUS
+	default:
+		return "Status";
+	}
+}
+
+static int has_body(int status)
+{
+	return status >= 200 && status != 204 && status != 304;
+}
+
+static void write_response(struct snipe_h1_request *req, const struct snipe_h1_response *r)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	req->response = out;
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", r->status, status_text(r->status));
+	for (int i = 0; i < r->header_count; i++) {
+		const struct snipe_h1_header *h = &r->headers[i];
+
+		evbuffer_add(out, h->name.data, h->name.len);
+		evbuffer_add(out, ": ", 2);
+		evbuffer_add(out, h->value.data, h->value.len);
+		evbuffer_add(out, "\r\n", 2);
+	}
+	if (r->is_head && r->length)
+		evbuffer_add_printf(out, "Content-Length: %s\r\n", r->length);
+	else if (!r->is_head && has_body(r->status))
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", r->body_len);
+	if (req->close_after)
+		evbuffer_add(out, "Connection: close\r\n", 19);
+	evbuffer_add(out, "\r\n", 2);
+	if (!r->is_head && has_body(r->status) && r->body_len)
+		evbuffer_add(out, r->body, r->body_len);
+}
+
+static void begin_linger(struct snipe_h1_connection *c)
+{
+	c->linger_until_us = snipe_now_us() + LINGER_US;
+	shutdown(bufferevent_getfd(c->bev), SHUT_WR);
+}
+
+/* Hands answered requests at the front of the queue to the socket. */
+static void flush(struct snipe_h1_connection *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	int closes = 0;
+
+	while (c->first && c->first->response && !closes) {
+		struct snipe_h1_request *req = c->first;
+
+		evbuffer_add_buffer(out, req->response);
+		closes = req->close_after;
+		c->first = req->next;
+		if (!c->first)
+			c->last = NULL;
+		c->waiting--;
+		free_request(req);
+	}
+	if (!closes)
+		return;
+	c->no_more_requests = 1;
+	/* Requests behind a response that closes count as not read: they get no answer. */
+	cancel_requests(c);
+	free_requests(c);
+	if (evbuffer_get_length(out) == 0)
+		begin_linger(c);
+}
+
+static void read_requests(struct snipe_h1_connection *c);
+
+void snipe_h1_respond(struct snipe_h1_request *req, const struct snipe_h1_response *response)
+{
+	struct snipe_h1_connection *c = req->connection;
+
+	req->owner = NULL;
+	if (response->close || !req->message.keep_alive ||
+	    (c->server->is_closing && !req->next))
+		req->close_after = 1;
+	write_response(req, response);
+	c->active_us = snipe_now_us();
+	flush(c);
+	/* A full pipeline may have room again. */
+	if (!c->is_handling && !c->no_more_requests &&
+	    evbuffer_get_length(bufferevent_get_input(c->bev)) > 0)
+		read_requests(c);
+}
+
+static void append_request(struct snipe_h1_connection *c, struct snipe_h1_request *req)
+{
+	req->next = NULL;
+	if (c->last)
+		c->last->next = req;
+	else
+		c->first = req;
+	c->last = req;
+	c->waiting++;
+}
+
+/* Answers a request that could not be read, and ends the connection. */
+static void reject_bytes(struct snipe_h1_connection *c, int status)
+{
+	struct snipe_h1_response r = {.status = status, .close = 1};
+	struct snipe_h1_request *req = c->reading;
+
+	c->reading = NULL;
+	c->no_more_requests = 1;
+	c->read_since_us = 0;
+	append_request(c, req);
+	snipe_h1_respond(req, &r);
+}
+
+static void take_request(struct snipe_h1_connection *c)
+{
+	struct snipe_h1_request *req = c->reading;
+
+	c->reading = NULL;
+	c->read_since_us = 0;
+	append_request(c, req);
+	if (!req->message.keep_alive)
+		c->no_more_requests = 1;
+	c->server->ops->request(c->server->arg, req);
+}
+
+static void begin_request(struct snipe_h1_connection *c)
+{
+	const struct snipe_h1_limits *l = &c->server->limits;
+
+	c->reading = g_new0(struct snipe_h1_request, 1);
+	c->reading->connection = c;
+	snipe_h1_message_init(&c->reading->message);
+	snipe_h1_parser_init(&c->parser, &c->reading->message, 1, 0, l->max_head_bytes,
+			     l->max_body_bytes);
+}
+
+/* A caller that waits for it gets leave to send the body (RFC 9110, section 10.1.1). */
+static void answer_expectation(struct snipe_h1_connection *c)
+{
+	const char *expect = snipe_h1_find(&c->reading->message, "Expect");
+
+	if (expect && c->first == NULL && c->parser.has_head &&
+	    c->reading->message.body.len == 0 &&
+	    g_ascii_strcasecmp(expect, "100-continue") == 0)
+		bufferevent_write(c->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+/* Parses what one read returned. Returns nonzero while there may be more to parse. */
+static int parse_some(struct snipe_h1_connection *c, struct evbuffer *in)
+{
+	struct evbuffer_iovec piece;
+	enum snipe_h1_parse_result result;
+	size_t consumed;
+	int had_head;
+
+	if (evbuffer_peek(in, -1, NULL, &piece, 1) < 1 || piece.iov_len == 0)
+		return 0;
+	if (!c->reading)
+		begin_request(c);
+	if (!c->read_since_us)
+		c->read_since_us = snipe_now_us();
+	had_head = c->parser.has_head;
+	result = snipe_h1_parser_feed(&c->parser, piece.iov_base, piece.iov_len, &consumed);
+	evbuffer_drain(in, consumed);
+	switch (result) {
+	case SNIPE_H1_MORE:
+		if (!had_head)
+			answer_expectation(c);
+		return 1;
+	case SNIPE_H1_DONE:
+		take_request(c);
+		return 1;
+	case SNIPE_H1_HEAD_LIMIT:
+		reject_bytes(c, 431);
+		return 0;
+	case SNIPE_H1_BODY_LIMIT:
+		reject_bytes(c, 413);
+		return 0;
+	case SNIPE_H1_MALFORMED:
+		break;
+	}
+	reject_bytes(c, 400);
+	return 0;
+}
+
+static void read_requests(struct snipe_h1_connection *c)
+{
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+
+	c->is_handling = 1;
+	c->active_us = snipe_now_us();
+	while (!c->is_freed && !c->no_more_requests && c->waiting < PIPELINE_MAX &&
+	       evbuffer_get_length(bufferevent_get_output(c->bev)) < OUTPUT_HIGH_BYTES &&
+	       parse_some(c, in))
+		;
+	if (c->no_more_requests)
+		evbuffer_drain(in, evbuffer_get_length(in));
+	c->is_handling = 0;
+	if (c->is_freed)
+		close_connection(c);
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	read_requests(arg);
+}
+
+static void on_written(struct bufferevent *bev, void *arg)
+{
+	struct snipe_h1_connection *c = arg;
+
+	c->active_us = snipe_now_us();
+	if (c->no_more_requests && !c->first && !c->linger_until_us)
+		begin_linger(c);
+	else if (!c->no_more_requests && evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+		read_requests(c);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	(void)what;
+	close_connection(arg);
+}
+
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+		      int len, void *arg)
+{
+	struct snipe_h1_server *s = arg;
+	struct snipe_h1_connection *c = g_new0(struct snipe_h1_connection, 1);
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	snipe_socket_set_nodelay(fd);
+	c->server = s;
+	c->bev = bufferevent_socket_new(s->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	c->active_us = snipe_now_us();
+	c->next = s->connections;
+	if (c->next)
+		c->next->prev = c;
+	s->connections = c;
+	s->connection_count++;
+	bufferevent_setcb(c->bev, on_read, on_written, on_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+static int is_idle(const struct snipe_h1_connection *c)
+{
+	return !c->first && !c->read_since_us &&
+	       evbuffer_get_length(bufferevent_get_output(c->bev)) == 0;
+}
+
+static void check_timeouts(struct snipe_h1_connection *c, int64_t now)
+{
+	const struct snipe_h1_limits *l = &c->server->limits;
+
+	if (c->linger_until_us) {
+		if (now >= c->linger_until_us)
+			close_connection(c);
+	} else if (c->read_since_us && !c->parser.has_head &&
+		   now - c->read_since_us > l->head_timeout_us) {
+		reject_bytes(c, 408);
+	} else if (is_idle(c) && now - c->active_us > l->idle_timeout_us) {
+		close_connection(c);
+	}
+}
+
+static void on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct snipe_h1_server *s = arg;
+	struct snipe_h1_connection *next;
+	int64_t now = snipe_now_us();
+
+	(void)fd;
+	(void)what;
+	for (struct snipe_h1_connection *c = s->connections; c; c = next) {
+		next = c->next;
+		check_timeouts(c, now);
+	}
+}
+
+int snipe_h1_server_init(struct snipe_h1_server *s, struct event_base *base,
+			 const struct snipe_address *listen, const char *role,
+			 const struct snipe_h1_server_ops *ops, void *arg,
+			 struct snipe_error_text *err)
+{
+	static const struct timeval sweep = {0, SWEEP_US};
+	char text[SNIPE_ADDRESS_TEXT];
+	struct sockaddr_storage ss;
+	int size = snipe_address_to_sockaddr(listen, &ss);
+
+	memset(s, 0, sizeof(*s));
+	s->base = base;
+	s->ops = ops;
+	s->arg = arg;
+	snipe_address_format(listen, text);
+	if (size > 0)
+		s->listener = evconnlistener_new_bind(
+			base, on_accept, s,
+			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+			LISTEN_BACKLOG, (struct sockaddr *)&ss, size);
+	if (!s->listener)
+		return snipe_error_set(err, SNIPE_ERR_IO,
+				       "cannot listen on %s for %s: %s; choose a free address "
+				       "in the settings, or stop the process that uses it",
+				       text, role, g_strerror(errno));
+	event_assign(&s->sweep, base, -1, EV_PERSIST, on_sweep, s);
+	event_add(&s->sweep, &sweep);
+	return 0;
+}
+
+void snipe_h1_server_finish(struct snipe_h1_server *s)
+{
+	struct snipe_h1_connection *next;
+
+	if (!s->listener)
+		return;
+	for (struct snipe_h1_connection *c = s->connections; c; c = next) {
+		next = c->next;
+		release(c);
+	}
+	event_del(&s->sweep);
+	evconnlistener_free(s->listener);
+	s->listener = NULL;
+}
+
+void snipe_h1_server_close_gracefully(struct snipe_h1_server *s)
+{
+	s->is_closing = 1;
+}
+
+void snipe_h1_server_close_idle(struct snipe_h1_server *s)
+{
+	struct snipe_h1_connection *next;
+
+	for (struct snipe_h1_connection *c = s->connections; c; c = next) {
+		next = c->next;
+		if (is_idle(c) && !c->linger_until_us)
+			close_connection(c);
+	}
+}
+
+int snipe_h1_server_is_busy(const struct snipe_h1_server *s)
+{
+	for (const struct snipe_h1_connection *c = s->connections; c; c = c->next)
+		if (c->first || evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
+			return 1;
+	return 0;
+}
--- a/programs/snipescaled/main.c
+++ b/programs/snipescaled/main.c
@@ -11,15 +11,18 @@
 #include "base/log.h"
 #include "config/settings.h"
 #include "node/node.h"
+#include "platform.h"
 
 enum exit_status { EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, EXIT_START };
 
 static char *config_path;
-static gboolean check_only, show_version;
+static gboolean check_only, show_version, on_platform;
 
 static const GOptionEntry options[] = {
 	{"config", 'c', 0, G_OPTION_ARG_FILENAME, &config_path, "Settings of the node (TOML)",
 	 "FILE"},
+	{"platform", 'p', 0, G_OPTION_ARG_NONE, &on_platform,
+	 "Run on the users' platform, with the settings file that its environment names", NULL},
 	{"check", 0, 0, G_OPTION_ARG_NONE, &check_only, "Check the settings and exit", NULL},
 	{"version", 0, 0, G_OPTION_ARG_NONE, &show_version, "Print the version and exit", NULL},
 	{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
@@ -33,10 +36,10 @@
 
 	g_option_context_add_main_entries(context, options, NULL);
 	ok = g_option_context_parse(context, &argc, &argv, &error);
-	if (ok && !show_version && (!config_path || argc > 1)) {
-		fprintf(stderr,
-			"snipescaled: give the settings with --config FILE and no other "
-			"arguments; see --help\n");
+	if (ok && !show_version && (!config_path == !on_platform || argc > 1)) {
+		fprintf(stderr, "snipescaled: give the settings with --config FILE, or "
+				"--platform, and no "
+				"other arguments; see --help\n");
 		ok = 0;
 	} else if (!ok) {
 		fprintf(stderr, "snipescaled: %s; see --help\n", error->message);
@@ -59,6 +62,21 @@
 	return rc;
 }
 
+static int run_on_platform(void)
+{
+	const char *path = snipe_adapter_settings_path();
+	struct snipe_error_text err = {"the environment names no settings file; start the node "
+				       "as the platform does"};
+
+	snipe_log_init("snipescaled", SNIPE_LOG_INFO);
+	snipe_log_use_stdout();
+	if (!path || snipe_adapter_run(path, check_only, &err) < 0) {
+		fprintf(stderr, "snipescaled: %s\n", err.text);
+		return EXIT_START;
+	}
+	return EXIT_OK;
+}
+
 int main(int argc, char **argv)
 {
 	enum snipe_log_level level = SNIPE_LOG_INFO;
@@ -71,6 +89,8 @@
 		printf("snipescaled %s\n", SNIPE_VERSION);
 		return EXIT_OK;
 	}
+	if (on_platform)
+		return run_on_platform();
 	if (load_settings(&settings) < 0)
 		return EXIT_SETTINGS;
 	if (check_only) {
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 
 packages=(build-essential cmake ninja-build pkg-config clang clang-format clang-tidy cppcheck
-	libevent-dev libmsgpack-dev libglib2.0-dev libtomlplusplus-dev libjansson-dev libxxhash-dev
+	libevent-dev libhttp-parser-dev libmsgpack-dev libglib2.0-dev libtomlplusplus-dev libjansson-dev libxxhash-dev
 	libgtest-dev librapidcheck-dev libclang-rt-14-dev spin)
 if ! dpkg -s "${packages[@]}" >/dev/null 2>&1; then
 	if [ "$(id -u)" -ne 0 ]; then
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -7,7 +7,7 @@
 
 cmake -S . -B "$build" -G Ninja >/dev/null
 git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | xargs clang-format --dry-run --Werror
-git ls-files -co --exclude-standard 'libs/*.c' 'programs/*.c' |
+git ls-files -co --exclude-standard 'libs/*.c' 'platform/*.c' 'programs/*.c' |
 	xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
 cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
-	--suppress=missingIncludeSystem --std=c11 -j "$(nproc)" -I libs libs programs
+	--suppress=missingIncludeSystem --std=c11 -j "$(nproc)" -I libs -I platform libs platform programs
--- /dev/null
+++ b/tests/adapter/store_test.cc
@@ -0,0 +1,302 @@
+// Guards against writes that are taken for done or undone when neither is known, lists that
+// miss pages, watches that go on after their history is gone, and answers that are no objects.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "h1/server.h"
+#include "store.h"
+#include "support/loop.h"
+
+namespace
+{
+
+struct Store : testing::Test {
+	Loop loop;
+	struct snipe_h1_server server;
+	struct snipe_address address = free_address();
+	struct snipe_adapter_store client;
+	std::vector<std::string> requests, bodies;
+	std::vector<std::pair<int, std::string>> script; /* answers in order; 0: none */
+	int count = 0, err = 1;
+	uint64_t version = 0;
+	std::string value;
+	std::map<std::string, std::string> entries;
+
+	void SetUp() override
+	{
+		static const struct snipe_h1_server_ops ops = {
+			on_request, [](void *, struct snipe_h1_request *) {}};
+		struct snipe_error_text text;
+
+		ASSERT_EQ(snipe_h1_server_init(&server, loop.base, &address, "store", &ops,
+					       this, &text),
+			  0);
+		server.limits = {65536, 4000000, 10000000, 10000000};
+		snipe_adapter_store_init(&client, loop.base, &address);
+	}
+	void TearDown() override
+	{
+		client.store.ops->finish(&client.store);
+		snipe_h1_server_finish(&server);
+	}
+	static void on_request(void *arg, struct snipe_h1_request *req)
+	{
+		auto *t = static_cast<Store *>(arg);
+		struct snipe_h1_response r = {};
+		size_t n = t->requests.size();
+
+		t->requests.push_back(
+			std::string(http_method_str((enum http_method)req->message.method)) +
+			" " + snipe_buffer_str(&req->message.url));
+		t->bodies.emplace_back(req->message.body.data ? req->message.body.data : "",
+				       req->message.body.len);
+		if (n >= t->script.size() || t->script[n].first == 0)
+			return;
+		r.status = t->script[n].first;
+		r.body = t->script[n].second.data();
+		r.body_len = t->script[n].second.size();
+		snipe_h1_respond(req, &r);
+	}
+	static void on_object(void *arg, int err, const struct snipe_object *o)
+	{
+		auto *t = static_cast<Store *>(arg);
+
+		t->count++;
+		t->err = err;
+		t->version = o->version;
+		t->value.assign(o->value ? o->value : "", o->len);
+	}
+	static void on_list(void *arg, int err, const struct snipe_object_entry *e, int n)
+	{
+		auto *t = static_cast<Store *>(arg);
+
+		t->count++;
+		t->err = err;
+		for (int i = 0; i < n; i++)
+			t->entries[e[i].name] = std::string(e[i].object.value, e[i].object.len);
+	}
+	void get()
+	{
+		count = 0;
+		client.store.ops->get(&client.store, "config", "main", 300, on_object, this);
+		ASSERT_TRUE(loop.until([&] { return count > 0; }));
+	}
+	void watch(uint64_t after)
+	{
+		count = 0;
+		client.store.ops->watch(&client.store, "config", "main", after, 100, 300,
+					on_object, this);
+		ASSERT_TRUE(loop.until([&] { return count > 0; }));
+	}
+	void put(uint64_t if_version)
+	{
+		count = 0;
+		client.store.ops->put(&client.store, "nodes", "n-1", if_version, "1.2.3.4:5", 9,
+				      300, on_object, this);
+		ASSERT_TRUE(loop.until([&] { return count > 0; }));
+	}
+};
+
+std::string object(const std::string &name, int revision, const std::string &spec)
+{
+	return R"({"metadata":{"name":")" + name + R"(","revision":)" +
+	       std::to_string(revision) +
+	       R"(,"created":1,"finalizers":[],"delete-requested":false},"spec":)" + spec +
+	       R"(,"status":null})";
+}
+
+std::string page(const std::string &items, bool more, int as_of)
+{
+	return "{\"items\":[" + items + "],\"has-more\":" + (more ? "true" : "false") +
+	       ",\"as-of\":" + std::to_string(as_of) + "}";
+}
+
+std::string change(const std::string &o, bool tombstone = false)
+{
+	return std::string("{\"tombstone\":") + (tombstone ? "true" : "false") +
+	       ",\"object\":" + o + "}";
+}
+
+} // namespace
+
+TEST_F(Store, GetReadsPagesAndAWatchContinuesFromTheStoresRevision)
+{
+	script = {{200, page(object("aa", 3, "1"), true, 500)},
+		  {200, page(object("main", 7, "{\"version\":\"1\"}"), false, 530)},
+		  {200, "{\"events\":[],\"as-of\":540}"},
+		  {200, "{\"events\":[" + change(object("other", 541, "2")) + "," +
+				change(object("main", 545, "{\"version\":\"2\"}")) +
+				"],\"as-of\":550}"},
+		  {200, "{\"events\":[],\"as-of\":560}"}};
+	get();
+	EXPECT_EQ(err, 0);
+	EXPECT_EQ(version, 7u);
+	EXPECT_EQ(value, "{\"version\":\"1\"}");
+	EXPECT_EQ(requests[0], "GET /snipescale/objects/config");
+	EXPECT_EQ(requests[1], "GET /snipescale/objects/config?after=aa");
+	watch(7);
+	EXPECT_EQ(err, SNIPE_ERR_STALE);
+	EXPECT_EQ(version, 7u);
+	EXPECT_EQ(requests[2], "GET /snipescale/objects/config?watch=530&wait-ms=100");
+	watch(7);
+	EXPECT_EQ(err, 0);
+	EXPECT_EQ(version, 545u);
+	EXPECT_EQ(requests[3], "GET /snipescale/objects/config?watch=540&wait-ms=100");
+	watch(545);
+	EXPECT_EQ(requests[4], "GET /snipescale/objects/config?watch=550&wait-ms=100");
+}
+
+// A read beside the watched object must neither read its whole kind nor move the watch.
+TEST_F(Store, AGetOnceReadsOneObjectAndLeavesTheWatchAsItIs)
+{
+	auto get_once = [&] {
+		count = 0;
+		client.store.ops->get_once(&client.store, "departures", "n-1", 300, on_object,
+					   this);
+		ASSERT_TRUE(loop.until([&] { return count > 0; }));
+	};
+
+	script = {{200, page(object("main", 7, "1"), false, 530)},
+		  {200, object("n-1", 9, "\"gone\"")},
+		  {200, "{\"events\":[],\"as-of\":540}"},
+		  {404, "{}"},
+		  {200, "{\"metadata\":{}}"},
+		  {0, ""}};
+	get();
+	get_once();
+	EXPECT_EQ(err, 0);
+	EXPECT_EQ(version, 9u);
+	EXPECT_EQ(value, "gone");
+	EXPECT_EQ(requests[1], "GET /snipescale/objects/departures/n-1");
+	watch(7);
+	EXPECT_EQ(requests[2], "GET /snipescale/objects/config?watch=530&wait-ms=100");
+	get_once();
+	EXPECT_EQ(err, SNIPE_ERR_NOT_FOUND);
+	get_once();
+	EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE) << "no object";
+	get_once();
+	EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE) << "no answer";
+}
+
+TEST_F(Store, EachStatusHasItsError)
+{
+	const std::pair<int, int> reads[] = {{404, SNIPE_ERR_NOT_FOUND},
+					     {410, SNIPE_ERR_HISTORY_LOST},
+					     {429, SNIPE_ERR_RATE_LIMITED},
+					     {503, SNIPE_ERR_UNAVAILABLE},
+					     {500, SNIPE_ERR_UNAVAILABLE}};
+	const std::pair<int, int> writes[] = {{409, SNIPE_ERR_CONFLICT},
+					      {413, SNIPE_ERR_TOO_LARGE},
+					      {429, SNIPE_ERR_RATE_LIMITED},
+					      {503, SNIPE_ERR_UNAVAILABLE},
+					      {500, SNIPE_ERR_UNKNOWN}};
+
+	for (auto [status, want] : reads)
+		script.push_back({status, "{}"});
+	for (auto [status, want] : writes)
+		script.push_back({status, "{}"});
+	for (auto [status, want] : reads) {
+		watch(5);
+		EXPECT_EQ(err, want) << status;
+	}
+	for (auto [status, want] : writes) {
+		put(0);
+		EXPECT_EQ(err, want) << status;
+	}
+}
+
+TEST_F(Store, AnswersThatAreNoObjectsConfirmNothing)
+{
+	const std::string bad[] = {"",
+				   "hello",
+				   "[]",
+				   "{}",
+				   "{\"items\":[]}",
+				   "{\"items\":{},\"as-of\":3}",
+				   "{\"items\":[],\"as-of\":\"3\"}"};
+
+	for (const auto &b : bad)
+		script.push_back({200, b});
+	for (const auto &b : bad) {
+		get();
+		EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE) << b;
+	}
+	for (const auto &b : bad)
+		script.push_back({200, b});
+	for (const auto &b : bad) {
+		watch(3);
+		EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE) << b;
+	}
+}
+
+TEST_F(Store, ForeignEntriesOfAListAreLeftOut)
+{
+	script = {{200, page(object("n-1", 3, "\"1.2.3.4:5\"") + ",7,{\"metadata\":{}},{}," +
+				     object("n-2", 4, "{\"a\":1}"),
+			     false, 500)}};
+	client.store.ops->list(&client.store, "nodes", 1, 300, on_list, this);
+	ASSERT_TRUE(loop.until([&] { return count > 0; }));
+	EXPECT_EQ(err, 0);
+	EXPECT_EQ(requests[0], "GET /snipescale/objects/nodes?allow-stale=1");
+	EXPECT_EQ(entries["n-1"], "1.2.3.4:5");
+	EXPECT_EQ(entries["n-2"], "{\"a\":1}");
+	EXPECT_EQ(entries.size(), 2u);
+}
+
+TEST_F(Store, EventsWithoutAnObjectAndTombstonesAreNoNewTables)
+{
+	script = {{200, "{\"events\":[7,{},{\"tombstone\":1}," +
+				change(object("main", 9, "{}"), true) + "],\"as-of\":10}"}};
+	watch(5);
+	EXPECT_EQ(err, SNIPE_ERR_STALE);
+}
+
+TEST_F(Store, CreateAndConditionalReplace)
+{
+	script = {{200, object("n-1", 8, "\"x\"")},
+		  {200, object("n-1", 9, "\"x\"")},
+		  {200, "{}"}};
+	put(0);
+	EXPECT_EQ(err, 0);
+	EXPECT_EQ(version, 8u);
+	EXPECT_EQ(requests[0], "POST /snipescale/objects/nodes");
+	EXPECT_EQ(bodies[0], R"({"metadata":{"name":"n-1"},"spec":"1.2.3.4:5"})");
+	put(8);
+	EXPECT_EQ(requests[1], "PUT /snipescale/objects/nodes/n-1");
+	EXPECT_EQ(bodies[1], R"({"metadata":{"name":"n-1","revision":8},"spec":"1.2.3.4:5"})");
+	put(9);
+	EXPECT_EQ(err, SNIPE_ERR_UNKNOWN) << "an answer without a revision says nothing";
+}
+
+TEST_F(Store, SilenceEndsReadsAndLeavesWritesUnknown)
+{
+	script = {{0, ""}, {0, ""}};
+	get();
+	EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE);
+	put(0);
+	EXPECT_EQ(err, SNIPE_ERR_UNKNOWN);
+}
+
+TEST_F(Store, ARefusedConnectionHasNoEffect)
+{
+	struct snipe_address nobody = free_address();
+
+	snipe_adapter_store_move(&client, &nobody);
+	put(0);
+	EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE);
+}
+
+TEST_F(Store, CancelledCallsAreSilent)
+{
+	script = {{0, ""}};
+	int handle =
+		client.store.ops->get(&client.store, "config", "main", 100, on_object, this);
+	client.store.ops->cancel(&client.store, handle);
+	loop.run_ms(200);
+	EXPECT_EQ(count, 0);
+}
--- /dev/null
+++ b/tests/gateway/departure_log_test.cc
@@ -0,0 +1,225 @@
+// Guards against departures that a restarted node forgets: a store that is away, loses answers
+// or holds another version, and a departure that comes while another one is being written.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "gateway/departure_log.h"
+#include "support/loop.h"
+
+namespace
+{
+
+// A store with one object; the test answers each call.
+struct Store {
+	struct snipe_object_store store; // first member: the vtable
+	struct Call {
+		std::string what, value;
+		uint64_t if_version;
+		snipe_object_cb cb;
+		void *arg;
+	};
+	std::vector<Call> calls;
+	int cancelled = 0;
+
+	static int on_get(struct snipe_object_store *s, const char *, const char *, int,
+			  snipe_object_cb cb, void *arg)
+	{
+		auto *self = reinterpret_cast<Store *>(s);
+
+		self->calls.push_back({"get", "", 0, cb, arg});
+		return (int)self->calls.size();
+	}
+	static int on_put(struct snipe_object_store *s, const char *, const char *,
+			  uint64_t if_version, const char *value, size_t len, int,
+			  snipe_object_cb cb, void *arg)
+	{
+		auto *self = reinterpret_cast<Store *>(s);
+
+		self->calls.push_back({"put", std::string(value, len), if_version, cb, arg});
+		return (int)self->calls.size();
+	}
+	static void on_cancel(struct snipe_object_store *s, int)
+	{
+		reinterpret_cast<Store *>(s)->cancelled++;
+	}
+	// Answers the last call.
+	void answer(int err, uint64_t version = 0, const std::string &value = "")
+	{
+		Call call = calls.back();
+		struct snipe_object o = {version, value.data(), value.size()};
+
+		call.cb(call.arg, err, err ? nullptr : &o);
+	}
+};
+
+struct DepartureLog : testing::Test {
+	Loop loop;
+	Store store;
+	struct snipe_object_store_ops ops = {};
+	struct snipe_departure_log log;
+	std::vector<struct snipe_departure> recalled;
+	int written = 0;
+	bool started = false;
+
+	void start(bool first)
+	{
+		struct snipe_departure_log_config c = {};
+
+		ops.get_once = Store::on_get;
+		ops.put = Store::on_put;
+		ops.cancel = Store::on_cancel;
+		store.store.ops = &ops;
+		c.base = loop.base;
+		c.store = &store.store;
+		c.kind = "departures";
+		c.node_id = "n-1";
+		c.is_first_start = first;
+		c.recalled = [](void *arg, const struct snipe_departure *d) {
+			static_cast<DepartureLog *>(arg)->recalled.push_back(*d);
+		};
+		c.written = [](void *arg) { static_cast<DepartureLog *>(arg)->written++; };
+		c.arg = this;
+		snipe_departure_log_init(&log, &c);
+		started = true;
+	}
+	void TearDown() override
+	{
+		if (started)
+			snipe_departure_log_finish(&log);
+	}
+	void record(const char *id, uint64_t sequence)
+	{
+		struct snipe_departure d = {};
+
+		strcpy(d.server_id, id);
+		d.born_ms = 1000;
+		d.sequence = sequence;
+		snipe_departure_log_record(&log, &d);
+	}
+	bool call(size_t count)
+	{
+		return loop.until([&] { return store.calls.size() >= count; });
+	}
+};
+
+TEST_F(DepartureLog, AFirstStartReadsNothingAndWritesWhatIsRecorded)
+{
+	start(true);
+	EXPECT_TRUE(store.calls.empty());
+	record("i-1", 4);
+	ASSERT_EQ(store.calls.size(), 1u);
+	EXPECT_EQ(store.calls[0].what, "put");
+	EXPECT_EQ(store.calls[0].value, "1000 4 i-1");
+	EXPECT_EQ(store.calls[0].if_version, 0u);
+	EXPECT_TRUE(snipe_departure_log_is_writing(&log));
+	store.answer(0, 9);
+	EXPECT_FALSE(snipe_departure_log_is_writing(&log));
+	EXPECT_EQ(written, 1);
+	record("i-2", 1);
+	EXPECT_EQ(store.calls.back().if_version, 9u);
+}
+
+TEST_F(DepartureLog, ALaterProcessRecallsTheDeparture)
+{
+	start(false);
+	ASSERT_EQ(store.calls.size(), 1u);
+	store.answer(0, 9, "1000 4 i-1");
+	ASSERT_EQ(recalled.size(), 1u);
+	EXPECT_STREQ(recalled[0].server_id, "i-1");
+	EXPECT_EQ(recalled[0].sequence, 4u);
+	EXPECT_EQ(store.calls.size(), 1u);
+	record("i-1", 5);
+	EXPECT_EQ(store.calls.back().if_version, 9u);
+}
+
+TEST_F(DepartureLog, AskedAgainUntilTheStoreAnswers)
+{
+	start(false);
+	store.answer(SNIPE_ERR_UNAVAILABLE);
+	ASSERT_TRUE(call(2));
+	store.answer(SNIPE_ERR_RATE_LIMITED);
+	ASSERT_TRUE(call(3));
+	store.answer(SNIPE_ERR_NOT_FOUND);
+	EXPECT_TRUE(recalled.empty());
+	loop.run_ms(50);
+	EXPECT_EQ(store.calls.size(), 3u);
+}
+
+TEST_F(DepartureLog, RecordedBeforeTheReadIsWrittenAfterIt)
+{
+	start(false);
+	record("i-2", 1);
+	EXPECT_EQ(store.calls.size(), 1u);
+	store.answer(0, 9, "1000 4 i-1");
+	ASSERT_EQ(store.calls.size(), 2u);
+	EXPECT_EQ(store.calls[1].value, "1000 1 i-2");
+	EXPECT_EQ(store.calls[1].if_version, 9u);
+}
+
+TEST_F(DepartureLog, AWriteThatFailsIsRepeated)
+{
+	start(true);
+	record("i-1", 4);
+	store.answer(SNIPE_ERR_UNAVAILABLE);
+	EXPECT_TRUE(snipe_departure_log_is_writing(&log));
+	ASSERT_TRUE(call(2));
+	EXPECT_EQ(store.calls[1].what, "put");
+	store.answer(0, 9);
+	EXPECT_EQ(written, 1);
+}
+
+TEST_F(DepartureLog, ALostAnswerOrAConflictIsReadBackAndWrittenAgain)
+{
+	start(true);
+	record("i-1", 4);
+	store.answer(SNIPE_ERR_UNKNOWN); // the write may have been done
+	ASSERT_TRUE(call(2));
+	EXPECT_EQ(store.calls[1].what, "get");
+	store.answer(0, 12, "1000 4 i-1");
+	EXPECT_TRUE(recalled.empty()) << "it is not a departure of an earlier process";
+	ASSERT_EQ(store.calls.size(), 3u);
+	EXPECT_EQ(store.calls[2].if_version, 12u);
+	store.answer(SNIPE_ERR_CONFLICT);
+	ASSERT_EQ(store.calls.size(), 4u);
+	EXPECT_EQ(store.calls[3].what, "get");
+	store.answer(0, 13, "x");
+	store.answer(0, 14);
+	EXPECT_EQ(written, 1);
+	EXPECT_FALSE(snipe_departure_log_is_writing(&log));
+}
+
+TEST_F(DepartureLog, ASecondDepartureDuringAWriteFollowsIt)
+{
+	start(true);
+	record("i-1", 4);
+	record("i-1", SNIPE_DEPARTURE_FINAL);
+	ASSERT_EQ(store.calls.size(), 1u);
+	store.answer(0, 9);
+	EXPECT_EQ(written, 0) << "the later one is not in the store";
+	ASSERT_EQ(store.calls.size(), 2u);
+	EXPECT_EQ(store.calls[1].value, "1000 18446744073709551615 i-1");
+	store.answer(0, 10);
+	EXPECT_EQ(written, 1);
+}
+
+TEST_F(DepartureLog, WhatCannotBeReadIsNoDeparture)
+{
+	start(false);
+	store.answer(0, 9, "{\"left\":1}");
+	EXPECT_TRUE(recalled.empty());
+	record("i-2", 1);
+	EXPECT_EQ(store.calls.back().if_version, 9u);
+}
+
+TEST_F(DepartureLog, AnOpenCallIsCancelledAtTheEnd)
+{
+	start(false);
+	snipe_departure_log_finish(&log);
+	started = false;
+	EXPECT_EQ(store.cancelled, 1);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/gateway/gate_test.cc
@@ -0,0 +1,661 @@
+// Guards against work that reaches a server which is leaving, gone or replaced, answers "not
+// run" for requests that ran, more calls than the server has slots, and slots that are lost.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/gate.h"
+#include "support/loop.h"
+
+namespace
+{
+
+const struct snipe_dialect DIALECT = {
+	nullptr,
+	{"Id", "Left", "Workspace", "Expect-Server", "Not-Run", "Caller", "Signature", "Token"},
+	"/ready",
+	"tables",
+	"main",
+	"nodes",
+	"departures",
+	"{}",
+};
+
+struct Answer {
+	int count = 0;
+	int err = 0;
+	enum snipe_answer_outcome outcome = SNIPE_ANSWER_COMPLETE;
+	int status = 0, arrived = 0;
+	std::string reason, body;
+
+	static void on_reply(void *arg, int err, const struct snipe_message *m,
+			     const char *body, size_t len)
+	{
+		auto *a = static_cast<Answer *>(arg);
+
+		a->count++;
+		a->err = err;
+		if (err)
+			return;
+		a->outcome = m->u.answer.outcome;
+		a->status = m->u.answer.status;
+		a->arrived = m->u.answer.has_arrived;
+		a->reason = m->u.answer.reason;
+		a->body.assign(body ? body : "", len);
+	}
+};
+
+// A gate, the node of a caller, and a backend server whose bytes the test writes.
+struct Gate : testing::Test {
+	Loop loop;
+	Listener server;
+	struct snipe_peer_task own, caller;
+	struct snipe_gateway_settings settings = {};
+	struct snipe_counters counters;
+	struct snipe_crash_guard guard;
+	struct snipe_gate gate;
+	std::vector<std::unique_ptr<Socket>> taken;
+	std::vector<struct snipe_departure> departures;
+	int changes = 0;
+
+	void SetUp() override
+	{
+		struct snipe_gate_config config = {};
+
+		snipe_counters_init(&counters);
+		snipe_crash_guard_init(&guard);
+		init_peer(&own, "gate");
+		init_peer(&caller, "caller");
+		strcpy(settings.node_id, "gate");
+		strcpy(settings.service, "tips");
+		settings.backend_server = server.address;
+		settings.announce_interval_us = 1500000;
+		config.base = loop.base;
+		config.settings = &settings;
+		config.dialect = &DIALECT;
+		config.peers = &own;
+		config.counters = &counters;
+		config.guard = &guard;
+		config.changed = [](void *arg) { static_cast<Gate *>(arg)->changes++; };
+		config.departed = [](void *arg, const struct snipe_departure *d) {
+			static_cast<Gate *>(arg)->departures.push_back(*d);
+		};
+		config.arg = this;
+		snipe_gate_init(&gate, &config);
+	}
+	void TearDown() override
+	{
+		snipe_gate_finish(&gate);
+		snipe_peer_task_finish(&caller);
+		snipe_peer_task_finish(&own);
+	}
+	void init_peer(struct snipe_peer_task *t, const char *id)
+	{
+		struct snipe_peer_config config = {};
+		struct snipe_error_text err;
+
+		config.base = loop.base;
+		strcpy(config.listen.ip, "127.0.0.1");
+		config.node_id = id;
+		config.process = 1;
+		config.secret = "";
+		ASSERT_EQ(snipe_peer_task_init(t, &config, &err), 0);
+	}
+	int notice(const char *id, enum snipe_server_state state, uint64_t sequence,
+		   int64_t born = 1000, int slots = 20, const char *service = "tips")
+	{
+		struct snipe_server_notice n = {};
+		struct snipe_error_text err;
+
+		strcpy(n.id, id);
+		strcpy(n.service, state == SNIPE_SERVER_NONE ? "" : service);
+		n.state = state;
+		n.slots = slots;
+		n.sequence = sequence;
+		n.born_ms = born;
+		return snipe_gate_notice(&gate, &n, &err);
+	}
+	uint64_t call(Answer &a, bool idempotent = true, const char *id = "r1",
+		      int64_t timeout_us = 5000000, int64_t patience_us = 3000000,
+		      uint64_t fingerprint = 1, bool is_trial = false)
+	{
+		struct snipe_message m = {};
+
+		m.type = SNIPE_MSG_CALL;
+		strcpy(m.u.call.pool, "tips");
+		strcpy(m.u.call.method, "GET");
+		m.u.call.path = {"/a?b=c", 6};
+		m.u.call.idempotent = idempotent;
+		m.u.call.timeout_us = timeout_us;
+		m.u.call.patience_us = patience_us;
+		m.u.call.fingerprint = fingerprint;
+		m.u.call.is_trial = is_trial;
+		m.u.call.headers[0] = {{"Id", 2}, {id, strlen(id)}};
+		m.u.call.header_count = 1;
+		return snipe_peer_request(&caller, snipe_peer_address(&own), &m, nullptr, 0,
+					  20000000, Answer::on_reply, &a);
+	}
+	// Why a call is refused if a departure is recalled after a notice that came late.
+	std::string refusal_after_recall(const struct snipe_departure &d)
+	{
+		Answer a;
+
+		notice("i-1", SNIPE_SERVER_READY, 6, 1000);
+		snipe_gate_recall(&gate, &d);
+		call(a);
+		EXPECT_TRUE(answered(a));
+		return a.reason;
+	}
+	// Takes the next connection on which a whole request came in.
+	Socket *request()
+	{
+		Socket *found = nullptr;
+
+		loop.until([&] {
+			Socket s = server.take();
+			if (s.fd >= 0)
+				taken.push_back(std::make_unique<Socket>(std::move(s)));
+			for (auto &t : taken)
+				if (t->has("\r\n\r\n"))
+					found = t.get();
+			return found != nullptr;
+		});
+		return found;
+	}
+	void respond(Socket *s, const std::string &status = "200 OK",
+		     const std::string &headers = "Signature: s\r\n",
+		     const std::string &body = "ok")
+	{
+		s->in.clear();
+		s->send_text("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " +
+			     std::to_string(body.size()) + "\r\n\r\n" + body);
+	}
+	bool answered(Answer &a)
+	{
+		return loop.until([&] { return a.count > 0; });
+	}
+};
+
+} // namespace
+
+TEST_F(Gate, PassesTheRequestOnWithTheServersIdAndTheTimeLeft)
+{
+	Answer a;
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	call(a);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	EXPECT_NE(s->in.find("GET /a?b=c HTTP/1.1\r\n"), std::string::npos);
+	EXPECT_NE(s->in.find("Id: r1\r\n"), std::string::npos);
+	EXPECT_NE(s->in.find("Expect-Server: i-1\r\n"), std::string::npos);
+	size_t at = s->in.find("Left: ");
+	ASSERT_NE(at, std::string::npos);
+	int left = atoi(s->in.c_str() + at + 6);
+	EXPECT_GT(left, 0);
+	EXPECT_LE(left, 5000);
+	respond(s);
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.outcome, SNIPE_ANSWER_COMPLETE);
+	EXPECT_EQ(a.status, 200);
+	EXPECT_EQ(a.body, "ok");
+}
+
+TEST_F(Gate, RefusesAsNotRunBeforeAndAfterTheServersTime)
+{
+	Answer before, draining, gone;
+
+	call(before);
+	ASSERT_TRUE(answered(before));
+	EXPECT_EQ(before.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(before.reason, SNIPE_GATE_NO_SERVER);
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	notice("i-1", SNIPE_SERVER_DRAINING, 2);
+	call(draining);
+	ASSERT_TRUE(answered(draining));
+	EXPECT_EQ(draining.reason, SNIPE_GATE_DRAINING);
+	notice("i-1", SNIPE_SERVER_NONE, 0);
+	call(gone);
+	ASSERT_TRUE(answered(gone));
+	EXPECT_EQ(gone.reason, SNIPE_GATE_NO_SERVER);
+	EXPECT_EQ(gone.arrived, 0);
+	EXPECT_FALSE(server.take().fd >= 0) << "no request may reach the server";
+	EXPECT_EQ(changes, 2) << "other nodes must hear of both changes";
+}
+
+TEST_F(Gate, ALeavingServerEndsWhatItRunsAndGetsNothingOfTheQueue)
+{
+	Answer running, waiting;
+
+	notice("i-1", SNIPE_SERVER_READY, 1, 1000, 1);
+	call(running, true, "r1");
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	call(waiting, true, "r2");
+	loop.run_ms(30);
+	EXPECT_EQ(waiting.count, 0);
+	notice("i-1", SNIPE_SERVER_DRAINING, 2, 1000, 1);
+	ASSERT_TRUE(answered(waiting));
+	EXPECT_EQ(waiting.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(waiting.reason, SNIPE_GATE_DRAINING);
+	respond(s);
+	ASSERT_TRUE(answered(running));
+	EXPECT_EQ(running.status, 200);
+}
+
+TEST_F(Gate, LateAndForeignNoticesChangeNothing)
+{
+	Answer a;
+
+	notice("i-2", SNIPE_SERVER_READY, 5, 2000);
+	notice("i-2", SNIPE_SERVER_DRAINING, 4, 2000); // overtaken
+	notice("i-1", SNIPE_SERVER_DRAINING, 9, 1000); // of an earlier process
+	notice("i-1", SNIPE_SERVER_NONE, 0, 1000);
+	EXPECT_EQ(notice("i-3", SNIPE_SERVER_READY, 1, 3000, 20, "other"), SNIPE_ERR_INVALID);
+	call(a);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	EXPECT_TRUE(s->has("Expect-Server: i-2"));
+	respond(s);
+	ASSERT_TRUE(answered(a));
+	notice("i-2", SNIPE_SERVER_NONE, 0, 2000);
+	notice("i-2", SNIPE_SERVER_READY, 6, 2000); // sent before it left
+	Answer b;
+	call(b);
+	ASSERT_TRUE(answered(b));
+	EXPECT_EQ(b.reason, SNIPE_GATE_NO_SERVER);
+}
+
+TEST_F(Gate, AServerThatStartsAgainUnderItsIdIsNew)
+{
+	Answer a;
+
+	notice("i-1", SNIPE_SERVER_READY, 50, 1000);
+	notice("i-1", SNIPE_SERVER_DRAINING, 51, 1000);
+	notice("i-1", SNIPE_SERVER_READY, 1, 2000);
+	call(a);
+	Socket *s = request();
+	ASSERT_TRUE(s) << "the counts of a new process start anew";
+	respond(s);
+	ASSERT_TRUE(answered(a));
+}
+
+TEST_F(Gate, TellsEachDepartureOnce)
+{
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	EXPECT_TRUE(departures.empty());
+	notice("i-1", SNIPE_SERVER_DRAINING, 2);
+	notice("i-1", SNIPE_SERVER_DRAINING, 3);
+	ASSERT_EQ(departures.size(), 1u);
+	EXPECT_EQ(departures[0].sequence, 2u);
+	notice("i-1", SNIPE_SERVER_NONE, 0, 0);
+	ASSERT_EQ(departures.size(), 2u);
+	EXPECT_STREQ(departures[1].server_id, "i-1");
+	EXPECT_EQ(departures[1].born_ms, 1000);
+	EXPECT_EQ(departures[1].sequence, SNIPE_DEPARTURE_FINAL);
+}
+
+// A leaving may be the first that a new process hears of its server; late announcements follow.
+TEST_F(Gate, ALeavingOfAnUnknownServerHoldsAgainstLateNotices)
+{
+	Answer a;
+
+	notice("i-1", SNIPE_SERVER_NONE, 0, 0);
+	notice("i-1", SNIPE_SERVER_READY, 7, 1000);
+	call(a);
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.reason, SNIPE_GATE_NO_SERVER);
+}
+
+TEST_F(Gate, ARecalledDepartureEndsWhatALateNoticeBegan)
+{
+	EXPECT_EQ(refusal_after_recall({"i-1", 1000, 7}), SNIPE_GATE_DRAINING);
+}
+
+TEST_F(Gate, AServerThatWasRecalledAsGoneIsNotUsed)
+{
+	EXPECT_EQ(refusal_after_recall({"i-1", 1000, SNIPE_DEPARTURE_FINAL}),
+		  SNIPE_GATE_NO_SERVER);
+}
+
+TEST_F(Gate, ARecalledDepartureOfAnotherProcessChangesNothing)
+{
+	const struct snipe_departure earlier = {"i-1", 900, SNIPE_DEPARTURE_FINAL};
+	Answer a;
+
+	notice("i-1", SNIPE_SERVER_READY, 1, 1000);
+	snipe_gate_recall(&gate, &earlier);
+	call(a);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	respond(s);
+	ASSERT_TRUE(answered(a));
+}
+
+TEST_F(Gate, ARecalledDepartureHoldsAgainstLaterLateNoticesOnly)
+{
+	const struct snipe_departure gone = {"i-1", 1000, SNIPE_DEPARTURE_FINAL};
+	Answer a, b;
+
+	snipe_gate_recall(&gate, &gone);
+	notice("i-1", SNIPE_SERVER_READY, 9, 1000);
+	call(a);
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.reason, SNIPE_GATE_NO_SERVER);
+	notice("i-1", SNIPE_SERVER_READY, 1, 1500); // the server started again
+	call(b, true, "r2");
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	respond(s);
+	ASSERT_TRUE(answered(b));
+}
+
+TEST_F(Gate, AnotherServerAtTheAddressIsNotUsedUntilItAnnouncesItself)
+{
+	Answer a, b, c;
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	call(a);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	respond(s, "421 Misdirected", "");
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.outcome, SNIPE_ANSWER_NOT_RUN);
+	call(b);
+	ASSERT_TRUE(answered(b));
+	EXPECT_EQ(b.reason, SNIPE_GATE_NO_SERVER);
+	notice("i-2", SNIPE_SERVER_READY, 1, 2000);
+	call(c);
+	s = request();
+	ASSERT_TRUE(s);
+	EXPECT_TRUE(s->has("Expect-Server: i-2"));
+}
+
+TEST_F(Gate, TheServersOwnRefusalIsNotRunButHasArrived)
+{
+	Answer a;
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	call(a);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	respond(s, "503 Busy", "Not-Run: 1\r\n");
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(a.arrived, 1);
+	EXPECT_EQ(a.reason, SNIPE_GATE_SERVER_REFUSED);
+}
+
+TEST_F(Gate, WhatIsNotTheServersWholeResponseIsUnknown)
+{
+	struct {
+		const char *bytes, *reason;
+		bool cut;
+	} cases[] = {
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "unsigned", false},
+		{"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Encoding: gzip\r\n"
+		 "Content-Length: 2\r\n\r\nok",
+		 "encoded", false},
+		{"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nok",
+		 SNIPE_GATE_BROKEN, true},
+		{"rubbish\r\n\r\n", SNIPE_GATE_BROKEN, false},
+		{"", SNIPE_GATE_LOST, true},
+	};
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	for (const auto &k : cases) {
+		Answer a;
+
+		call(a);
+		Socket *s = request();
+		ASSERT_TRUE(s);
+		s->in.clear();
+		if (*k.bytes)
+			s->send_text(k.bytes);
+		loop.run_ms(20);
+		if (k.cut)
+			s->close_now();
+		ASSERT_TRUE(answered(a)) << k.reason;
+		EXPECT_EQ(a.outcome, SNIPE_ANSWER_UNKNOWN) << k.reason;
+		EXPECT_EQ(a.reason, k.reason);
+		EXPECT_EQ(a.arrived, 1);
+		taken.clear();
+	}
+}
+
+TEST_F(Gate, NeverRunsMoreThanTheSlotsAndStartsTheNextAtOnce)
+{
+	std::vector<Answer> a(30);
+
+	notice("i-1", SNIPE_SERVER_READY, 1, 1000, 20);
+	for (size_t i = 0; i < a.size(); i++)
+		call(a[i], true, "r");
+	auto count = [&] {
+		Socket s = server.take();
+		if (s.fd >= 0)
+			taken.push_back(std::make_unique<Socket>(std::move(s)));
+		return taken.size();
+	};
+	ASSERT_TRUE(loop.until([&] { return count() >= 19; }));
+	loop.run_ms(100);
+	EXPECT_EQ(count(), 19u) << "one of 20 slots is kept free";
+	EXPECT_EQ(gate.queue.count, 11);
+	for (int i = 0; i < 11; i++)
+		respond(taken[(size_t)i].get());
+	EXPECT_TRUE(loop.until([&] { return gate.queue.count == 0; }));
+	EXPECT_EQ(gate.queue.running, 19);
+}
+
+TEST_F(Gate, WaitingEndsWithThePatienceAsNotRun)
+{
+	Answer running, waiting;
+
+	notice("i-1", SNIPE_SERVER_READY, 1, 1000, 1);
+	gate.service_us = 10000;
+	call(running);
+	ASSERT_TRUE(request());
+	call(waiting, true, "r2", 5000000, 100000);
+	int64_t start = snipe_now_us();
+	ASSERT_TRUE(answered(waiting));
+	EXPECT_EQ(waiting.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_GE(snipe_now_us() - start, 90000);
+	EXPECT_EQ(running.count, 0);
+}
+
+TEST_F(Gate, ACallerThatLeavesFreesTheSlotOfARepeatableRequest)
+{
+	Answer a;
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	uint64_t id = call(a);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	snipe_peer_cancel(&caller, id);
+	EXPECT_TRUE(loop.until([&] {
+		s->pump();
+		return s->eof || s->reset;
+	}));
+	EXPECT_EQ(gate.queue.running, 0);
+	EXPECT_EQ(snipe_gate_in_flight(&gate), 0);
+}
+
+TEST_F(Gate, ARequestThatMustNotBeRepeatedIsLeftToEnd)
+{
+	Answer a;
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	uint64_t id = call(a, false);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	snipe_peer_cancel(&caller, id);
+	loop.run_ms(100);
+	s->pump();
+	EXPECT_FALSE(s->eof);
+	EXPECT_EQ(gate.queue.running, 1) << "the server still works on it";
+	respond(s);
+	EXPECT_TRUE(loop.until([&] { return gate.queue.running == 0; }));
+}
+
+TEST_F(Gate, ASilentServerTimesOutAndItsConnectionIsNotUsedAgain)
+{
+	Answer a, b;
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	call(a, true, "r1", 150000);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.outcome, SNIPE_ANSWER_UNKNOWN);
+	EXPECT_EQ(a.reason, SNIPE_GATE_TIMEOUT);
+	EXPECT_TRUE(loop.until([&] {
+		s->pump();
+		return s->eof || s->reset;
+	}));
+	s->in.clear();
+	call(b, true, "r2");
+	EXPECT_NE(request(), s);
+}
+
+TEST_F(Gate, ADeadServerIsNoticedByARefusedConnection)
+{
+	Answer a, b;
+
+	settings.backend_server = free_address();
+	snipe_h1_pool_set_address(&gate.pool, &settings.backend_server);
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	call(a);
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(a.arrived, 0);
+	call(b);
+	ASSERT_TRUE(answered(b));
+	EXPECT_EQ(b.reason, SNIPE_GATE_NO_SERVER);
+	struct snipe_node_report r = {};
+	snipe_gate_fill_report(&gate, snipe_now_us(), &r);
+	EXPECT_EQ(r.server, SNIPE_SERVER_DRAINING) << "others must not place calls here";
+}
+
+// A popular request is lost on several connections; the death shows by a refused connection
+// first, and by the next process later.
+TEST_F(Gate, OneDeathThatShowsTwiceCountsOnce)
+{
+	Answer a, b, c, d;
+
+	notice("i-1", SNIPE_SERVER_READY, 1, 1000);
+	call(a, true, "a", 5000000, 3000000, 99);
+	call(b, true, "b", 5000000, 3000000, 99);
+	Socket *first = request(), *second = request();
+	ASSERT_TRUE(first && second);
+	first->reset_now();
+	ASSERT_TRUE(answered(a));
+	settings.backend_server = free_address();
+	snipe_h1_pool_set_address(&gate.pool, &settings.backend_server);
+	call(c, true, "c", 5000000, 3000000, 5);
+	ASSERT_TRUE(answered(c)); // no connection: the first sign
+	second->reset_now();
+	ASSERT_TRUE(answered(b));
+	taken.clear();
+	settings.backend_server = server.address;
+	snipe_h1_pool_set_address(&gate.pool, &settings.backend_server);
+	notice("i-2", SNIPE_SERVER_READY, 1, 2000); // the second one
+	call(d, true, "d", 5000000, 3000000, 99);
+	Socket *s = request();
+	if (s)
+		respond(s);
+	ASSERT_TRUE(answered(d));
+	EXPECT_EQ(d.status, 200) << d.reason;
+}
+
+// A trial whose connection ends is a strike at once: other nodes would try it before the death
+// shows otherwise.
+TEST_F(Gate, ALostTrialIsReportedAtOnce)
+{
+	struct snipe_node_report r = {};
+	Answer a;
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	call(a, true, "r", 5000000, 3000000, 99, true);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	int before = changes;
+	s->reset_now();
+	ASSERT_TRUE(answered(a));
+	EXPECT_GT(changes, before);
+	snipe_gate_fill_report(&gate, snipe_now_us(), &r);
+	ASSERT_EQ(r.strike_count, 1);
+	EXPECT_EQ(r.strikes[0].fingerprint, 99u);
+}
+
+// The same request kills each server that runs it.
+TEST_F(Gate, ARequestThatKilledTwoServersIsRefused)
+{
+	for (int death = 0; death < 2; death++) {
+		Answer a;
+
+		notice(death ? "i-2" : "i-1", SNIPE_SERVER_READY, 1, 1000 + death);
+		call(a, true, "r", 5000000, 3000000, 99);
+		Socket *s = request();
+		ASSERT_TRUE(s);
+		s->reset_now();
+		ASSERT_TRUE(answered(a));
+		taken.clear();
+	}
+	notice("i-3", SNIPE_SERVER_READY, 1, 1002);
+	Answer bad, good;
+	call(bad, true, "r", 5000000, 3000000, 99);
+	ASSERT_TRUE(answered(bad));
+	EXPECT_EQ(bad.reason, SNIPE_GATE_CRASH_SUSPECT);
+	call(good, true, "r", 5000000, 3000000, 100);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	respond(s);
+	ASSERT_TRUE(answered(good));
+	EXPECT_EQ(good.status, 200);
+	Answer trial, later;
+	call(trial, true, "r", 5000000, 3000000, 99, true);
+	s = request();
+	ASSERT_TRUE(s) << "a trial runs";
+	respond(s);
+	ASSERT_TRUE(answered(trial));
+	call(later, true, "r", 5000000, 3000000, 99);
+	s = request();
+	ASSERT_TRUE(s) << "it was found harmless";
+	respond(s);
+	ASSERT_TRUE(answered(later));
+	struct snipe_node_report r = {};
+	snipe_gate_fill_report(&gate, snipe_now_us(), &r);
+	ASSERT_GE(r.strike_count, 1) << "other nodes must hear of it";
+	EXPECT_EQ(r.strikes[0].fingerprint, 99u);
+}
+
+TEST_F(Gate, AServerWithoutNoticesAndResponsesIsTakenForGone)
+{
+	Answer a;
+
+	settings.announce_interval_us = 50000;
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	loop.run_ms(200);
+	call(a);
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.reason, SNIPE_GATE_NO_SERVER);
+}
+
+// The calls that waited in the sockets of a frozen machine were given up by their senders.
+TEST_F(Gate, CallsReadAfterAPauseAreNotRun)
+{
+	Answer a, b;
+
+	notice("i-1", SNIPE_SERVER_READY, 1);
+	call(a);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	respond(s);
+	ASSERT_TRUE(answered(a));
+	call(b, false, "r2");
+	gate.tick_us -= 3000000;
+	ASSERT_TRUE(answered(b));
+	EXPECT_EQ(b.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(b.reason, SNIPE_GATE_EXPIRED);
+}
--- /dev/null
+++ b/tests/h1/pool_test.cc
@@ -0,0 +1,256 @@
+// Guards against responses that reach another call, requests sent twice or on dead connections,
+// and failures that are reported as certain when they are not.
+#include <event2/buffer.h>
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "h1/pool.h"
+#include "support/loop.h"
+
+namespace
+{
+
+struct Call {
+	int done = 0;
+	enum snipe_h1_result result = SNIPE_H1_COMPLETE;
+	int status = 0;
+	std::string body, id;
+	struct snipe_h1_call *call = nullptr;
+
+	static int accept(void *arg, const struct snipe_h1_message *m)
+	{
+		auto *c = static_cast<Call *>(arg);
+		const char *id = snipe_h1_find(m, "Id");
+
+		return !id || c->id.empty() || c->id == id;
+	}
+	static void on_done(void *arg, enum snipe_h1_result result,
+			    const struct snipe_h1_message *m)
+	{
+		auto *c = static_cast<Call *>(arg);
+
+		c->done++;
+		c->result = result;
+		if (m) {
+			c->status = m->status;
+			c->body.assign(m->body.data ? m->body.data : "", m->body.len);
+		}
+	}
+};
+
+struct Pool {
+	Loop loop;
+	Listener listener;
+	struct snipe_h1_pool p;
+	Socket server;
+
+	Pool()
+	{
+		snipe_h1_pool_init(&p, loop.base);
+		snipe_h1_pool_set_address(&p, &listener.address);
+	}
+	~Pool()
+	{
+		snipe_h1_pool_finish(&p);
+	}
+	void start(Call &c, const std::string &text = "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	{
+		static const struct snipe_h1_call_ops ops = {Call::accept, Call::on_done};
+		struct evbuffer *b = evbuffer_new();
+
+		evbuffer_add(b, text.data(), text.size());
+		c.call = snipe_h1_call_start(&p, b, 0, &ops, &c);
+		evbuffer_free(b);
+	}
+	bool accepted()
+	{
+		return loop.until([&] {
+			if (server.fd < 0)
+				server = listener.take();
+			return server.fd >= 0 && server.has("\r\n\r\n");
+		});
+	}
+	bool ended(Call &c)
+	{
+		return loop.until([&] { return c.done > 0; });
+	}
+};
+
+const char OK[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST(H1Pool, ConnectionIsKeptAndUsedAgain)
+{
+	Pool t;
+
+	for (int i = 0; i < 3; i++) {
+		Call c;
+		t.start(c);
+		ASSERT_TRUE(t.accepted());
+		t.server.in.clear();
+		t.server.send_text(OK);
+		ASSERT_TRUE(t.ended(c));
+		EXPECT_EQ(c.result, SNIPE_H1_COMPLETE);
+		EXPECT_EQ(c.body, "ok");
+	}
+	EXPECT_EQ(t.p.opened_total, 1);
+}
+
+TEST(H1Pool, BytesAfterTheResponseBelongToNothing)
+{
+	Pool t;
+	Call a, b;
+
+	t.start(a);
+	ASSERT_TRUE(t.accepted());
+	t.server.send_text(std::string(OK) +
+			   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+	ASSERT_TRUE(t.ended(a));
+	EXPECT_EQ(a.body, "ok");
+	t.server = Socket();
+	t.start(b);
+	ASSERT_TRUE(t.accepted());
+	t.server.send_text(OK);
+	ASSERT_TRUE(t.ended(b));
+	EXPECT_EQ(b.body, "ok");
+	EXPECT_EQ(t.p.opened_total, 2);
+}
+
+TEST(H1Pool, AResponseToAnEarlierRequestIsDropped)
+{
+	Pool t;
+	Call c;
+
+	c.id = "mine";
+	t.start(c);
+	ASSERT_TRUE(t.accepted());
+	t.server.send_text("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"
+			   "HTTP/1.1 100 Continue\r\n\r\n"
+			   "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok");
+	ASSERT_TRUE(t.ended(c));
+	EXPECT_EQ(c.body, "ok");
+}
+
+TEST(H1Pool, NothingSentIsToldFromMaybeRun)
+{
+	Pool t;
+	Call refused, lost, cut, reset;
+	struct snipe_address nobody = free_address();
+
+	snipe_h1_pool_set_address(&t.p, &nobody);
+	t.start(refused);
+	ASSERT_TRUE(t.ended(refused));
+	EXPECT_EQ(refused.result, SNIPE_H1_NOT_CONNECTED);
+
+	snipe_h1_pool_set_address(&t.p, &t.listener.address);
+	t.start(lost);
+	ASSERT_TRUE(t.accepted());
+	t.server.close_now();
+	ASSERT_TRUE(t.ended(lost));
+	EXPECT_EQ(lost.result, SNIPE_H1_LOST);
+
+	t.start(cut);
+	ASSERT_TRUE(t.accepted());
+	t.server.send_text("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel");
+	t.loop.run_ms(20);
+	t.server.close_now();
+	ASSERT_TRUE(t.ended(cut));
+	EXPECT_EQ(cut.result, SNIPE_H1_BROKEN);
+
+	t.start(reset);
+	ASSERT_TRUE(t.accepted());
+	t.server.send_text("nonsense");
+	ASSERT_TRUE(t.ended(reset));
+	EXPECT_EQ(reset.result, SNIPE_H1_BROKEN);
+}
+
+TEST(H1Pool, AResponseWithoutALengthIsWholeOnlyAfterACleanEnd)
+{
+	for (bool clean : {true, false}) {
+		Pool t;
+		Call c;
+
+		t.start(c);
+		ASSERT_TRUE(t.accepted());
+		t.server.send_text("HTTP/1.1 200 OK\r\n\r\nbody");
+		t.loop.run_ms(50);
+		EXPECT_EQ(c.done, 0);
+		if (clean)
+			t.server.close_now();
+		else
+			t.server.reset_now();
+		ASSERT_TRUE(t.ended(c));
+		EXPECT_EQ(c.result, clean ? SNIPE_H1_COMPLETE : SNIPE_H1_BROKEN);
+		EXPECT_EQ(c.body, clean ? "body" : "");
+	}
+}
+
+// The rest of the body would be taken for the next request.
+TEST(H1Pool, AnEarlyResponseEndsTheConnection)
+{
+	Pool t;
+	Call c;
+	std::string body(8 * 1024 * 1024, 'b');
+
+	t.start(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+			   std::to_string(body.size()) + "\r\n\r\n" + body);
+	ASSERT_TRUE(t.accepted());
+	t.server.send_text(OK);
+	ASSERT_TRUE(t.ended(c));
+	EXPECT_EQ(c.body, "ok");
+	EXPECT_TRUE(t.loop.until([&] {
+		t.server.pump();
+		return t.server.eof || t.server.reset;
+	}));
+	EXPECT_EQ(t.p.connection_count, 0);
+}
+
+TEST(H1Pool, ConnectionsThatTheServerIsAboutToCloseAreNotUsed)
+{
+	for (const char *header : {"Connection: close\r\n", "Keep-Alive: timeout=1\r\n"}) {
+		Pool t;
+		Call a, b;
+
+		t.start(a);
+		ASSERT_TRUE(t.accepted());
+		t.server.send_text(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n") +
+				   header + "\r\nok");
+		ASSERT_TRUE(t.ended(a));
+		t.server = Socket();
+		t.start(b);
+		ASSERT_TRUE(t.accepted());
+		EXPECT_EQ(t.p.opened_total, 2) << header;
+		snipe_h1_call_cancel(b.call);
+	}
+}
+
+TEST(H1Pool, ACancelledCallClosesItsConnection)
+{
+	Pool t;
+	Call c;
+
+	t.start(c);
+	ASSERT_TRUE(t.accepted());
+	snipe_h1_call_cancel(c.call);
+	EXPECT_TRUE(t.loop.until([&] {
+		t.server.pump();
+		return t.server.eof || t.server.reset;
+	}));
+	EXPECT_EQ(c.done, 0);
+}
+
+TEST(H1Pool, RenewedPoolsLeaveRunningCallsAlone)
+{
+	Pool t;
+	Call c;
+
+	t.start(c);
+	ASSERT_TRUE(t.accepted());
+	snipe_h1_pool_renew(&t.p);
+	t.server.send_text(OK);
+	ASSERT_TRUE(t.ended(c));
+	EXPECT_EQ(c.body, "ok");
+	EXPECT_EQ(t.p.connection_count, 0);
+}
--- /dev/null
+++ b/tests/h1/server_test.cc
@@ -0,0 +1,227 @@
+// Guards against answers out of order, callers whose leaving is noticed late, requests that are
+// cut off by a close, and callers that hold connections without end.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "h1/server.h"
+#include "support/loop.h"
+
+namespace
+{
+
+struct Server {
+	Loop loop;
+	struct snipe_h1_server s;
+	struct snipe_address address = free_address();
+	std::map<std::string, struct snipe_h1_request *> open;
+	std::vector<std::string> urls, cancelled;
+
+	Server()
+	{
+		static const struct snipe_h1_server_ops ops = {on_request, on_cancelled};
+		struct snipe_error_text err;
+
+		EXPECT_EQ(
+			snipe_h1_server_init(&s, loop.base, &address, "test", &ops, this, &err),
+			0)
+			<< err.text;
+		s.limits = {4096, 100000, 1000000, 60000000};
+	}
+	~Server()
+	{
+		snipe_h1_server_finish(&s);
+	}
+	static void on_request(void *arg, struct snipe_h1_request *req)
+	{
+		auto *t = static_cast<Server *>(arg);
+		std::string url = snipe_buffer_str(&req->message.url);
+
+		req->owner = t;
+		t->open[url] = req;
+		t->urls.push_back(url);
+	}
+	static void on_cancelled(void *arg, struct snipe_h1_request *req)
+	{
+		auto *t = static_cast<Server *>(arg);
+		std::string url = snipe_buffer_str(&req->message.url);
+
+		t->open.erase(url);
+		t->cancelled.push_back(url);
+	}
+	void answer(const std::string &url, const std::string &body, bool close = false)
+	{
+		struct snipe_h1_response r = {};
+
+		r.status = 200;
+		r.body = body.data();
+		r.body_len = body.size();
+		r.close = close;
+		struct snipe_h1_request *req = open.at(url);
+		open.erase(url);
+		snipe_h1_respond(req, &r);
+	}
+	bool waits_for(size_t count)
+	{
+		return loop.until([&] { return open.size() == count; });
+	}
+};
+
+std::string get(const std::string &url, const std::string &more = "")
+{
+	return "GET " + url + " HTTP/1.1\r\nHost: x\r\n" + more + "\r\n";
+}
+
+} // namespace
+
+TEST(H1Server, PipelinedRequestsRunTogetherAndAreAnsweredInOrder)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+
+	c.send_text(get("/1") + get("/2") + get("/3"));
+	ASSERT_TRUE(t.waits_for(3));
+	t.answer("/3", "three");
+	t.answer("/1", "one");
+	ASSERT_TRUE(t.loop.until([&] { return c.has("one"); }));
+	EXPECT_FALSE(c.has("three"));
+	t.answer("/2", "two");
+	ASSERT_TRUE(t.loop.until([&] { return c.has("three"); }));
+	EXPECT_LT(c.in.find("one"), c.in.find("two"));
+	EXPECT_LT(c.in.find("two"), c.in.find("three"));
+}
+
+TEST(H1Server, ACallerThatLeavesIsNoticedWhileItsRequestsRun)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+
+	c.send_text(get("/1") + get("/2"));
+	ASSERT_TRUE(t.waits_for(2));
+	c.close_now();
+	int64_t start = snipe_now_us();
+	ASSERT_TRUE(t.loop.until([&] { return t.cancelled.size() == 2; }));
+	EXPECT_LT(snipe_now_us() - start, 500000);
+}
+
+TEST(H1Server, RequestsBehindAClosingResponseAreCancelled)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+
+	c.send_text(get("/1") + get("/2"));
+	ASSERT_TRUE(t.waits_for(2));
+	t.answer("/1", "one", true);
+	ASSERT_TRUE(t.loop.until([&] { return c.has("one") && c.eof; }));
+	EXPECT_TRUE(c.has("Connection: close"));
+	EXPECT_EQ(t.cancelled, std::vector<std::string>{"/2"});
+}
+
+// Closing a socket with unread bytes resets it, which can destroy the response on its way.
+TEST(H1Server, ACloseWithUnreadBytesDoesNotResetTheResponse)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+
+	c.send_text(get("/1", "Connection: close\r\n") + std::string(60000, 'x'));
+	ASSERT_TRUE(t.waits_for(1));
+	t.answer("/1", std::string(50000, 'y'));
+	ASSERT_TRUE(t.loop.until([&] {
+		c.pump();
+		return c.eof || c.reset;
+	}));
+	EXPECT_FALSE(c.reset);
+	EXPECT_NE(c.in.find(std::string(50000, 'y')), std::string::npos);
+}
+
+TEST(H1Server, MalformedAndOversizedRequestsAreAnswered)
+{
+	struct {
+		std::string text, status;
+	} cases[] = {
+		{"GET / HTTP/1.1\r\nBad Name: 1\r\n\r\n", "HTTP/1.1 400 "},
+		{"GET / HTTP/1.1\r\nX: " + std::string(5000, 'a') + "\r\n\r\n",
+		 "HTTP/1.1 431 "},
+		{"POST / HTTP/1.1\r\nContent-Length: 100001\r\n\r\n", "HTTP/1.1 413 "},
+	};
+
+	for (const auto &k : cases) {
+		Server t;
+		Socket c = Socket::connect_to(t.address);
+
+		c.send_text(k.text);
+		ASSERT_TRUE(t.loop.until([&] { return c.has(k.status) && c.eof; })) << k.status;
+		EXPECT_TRUE(t.urls.empty());
+	}
+}
+
+TEST(H1Server, AnAnswerBeforeAMalformedRequestIsStillDelivered)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+
+	c.send_text(get("/1") + "nonsense\r\n\r\n");
+	ASSERT_TRUE(t.waits_for(1));
+	t.loop.run_ms(20);
+	EXPECT_FALSE(c.has("400"));
+	t.answer("/1", "one");
+	ASSERT_TRUE(t.loop.until([&] { return c.has("400 ") && c.eof; }));
+	EXPECT_LT(c.in.find("one"), c.in.find("400 "));
+}
+
+TEST(H1Server, SlowHeadersAndIdleConnectionsEnd)
+{
+	Server t;
+	Socket slow = Socket::connect_to(t.address), idle = Socket::connect_to(t.address);
+
+	t.s.limits.head_timeout_us = 200000;
+	t.s.limits.idle_timeout_us = 200000;
+	slow.send_text("GET / HTTP/1.1\r\nX");
+	ASSERT_TRUE(t.loop.until([&] {
+		idle.pump();
+		return slow.has("408 ") && idle.eof;
+	}));
+}
+
+TEST(H1Server, ARunningRequestIsNoIdleConnection)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+
+	t.s.limits.idle_timeout_us = 100000;
+	c.send_text(get("/1"));
+	ASSERT_TRUE(t.waits_for(1));
+	t.loop.run_ms(1200);
+	t.answer("/1", "late");
+	EXPECT_TRUE(t.loop.until([&] { return c.has("late"); }));
+}
+
+TEST(H1Server, GracefulCloseAnswersAllAndThenEndsConnections)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+
+	c.send_text(get("/1") + get("/2"));
+	ASSERT_TRUE(t.waits_for(2));
+	snipe_h1_server_close_gracefully(&t.s);
+	t.answer("/1", "one");
+	EXPECT_TRUE(t.cancelled.empty()) << "a request that runs must not be cut off";
+	t.answer("/2", "two");
+	ASSERT_TRUE(t.loop.until([&] { return c.has("two") && c.eof; }));
+	EXPECT_EQ(c.in.find("Connection: close"), c.in.rfind("Connection: close"));
+}
+
+TEST(H1Server, ExpectContinueIsAnsweredAtOnce)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+
+	c.send_text("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: "
+		    "100-continue\r\n\r\n");
+	ASSERT_TRUE(t.loop.until([&] { return c.has("100 Continue"); }));
+	c.send_text("ab");
+	ASSERT_TRUE(t.waits_for(1));
+	t.answer("/1", "ok");
+}
--- a/tests/process/stand_ins_test.cc
+++ b/tests/process/stand_ins_test.cc
@@ -6,7 +6,9 @@
 #include <signal.h>
 #include <string.h>
 
+#include "h1/server.h"
 #include "support/fleet.h"
+#include "support/loop.h"
 #include "support/silence.h"
 
 using namespace snipe_test;
@@ -216,3 +218,26 @@
 	EXPECT_FALSE(open.Request("GET", "/x").complete);
 	EXPECT_EQ(Fetch(b.port, "GET", "/x").status, 200);
 }
+
+// A child between fork and exec holds the listeners of the test program.
+TEST(StandIns, APortIsFreeRightAfterAProcessWasStarted)
+{
+	TempDir dir;
+	Loop loop;
+	static const struct snipe_h1_server_ops ops = {nullptr, nullptr};
+	struct snipe_address a = free_address();
+	struct snipe_error_text err = {""};
+	std::unique_ptr<Process> last;
+
+	for (int i = 0; i < 100; i++) {
+		struct snipe_h1_server server;
+
+		ASSERT_EQ(snipe_h1_server_init(&server, loop.base, &a, "test", &ops, nullptr,
+					       &err),
+			  0)
+			<< "round " << i << ": " << err.text;
+		last = std::make_unique<Process>(
+			std::vector<std::string>{"snipescaled", "--version"}, dir.File("p"));
+		snipe_h1_server_finish(&server);
+	}
+}
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -95,17 +96,28 @@
 	std::string out = files + ".out", err = files + ".err";
 	std::vector<char *> args;
 	pid_t parent = getpid();
+	int started[2];
+	char byte;
 
 	for (const auto &a : argv)
 		args.push_back(const_cast<char *>(a.c_str()));
 	args.push_back(nullptr);
 	out_start_ = FileSize(out);
 	err_start_ = FileSize(err);
+	if (pipe2(started, O_CLOEXEC) < 0)
+		throw std::runtime_error("pipe failed");
 	pid_ = fork();
 	if (pid_ < 0)
 		throw std::runtime_error("fork failed");
-	if (pid_ > 0)
+	if (pid_ > 0) {
+		// Until the child has started its program it holds the listeners of the test,
+		// and their ports could not be used again.
+		close(started[1]);
+		while (read(started[0], &byte, 1) < 0 && errno == EINTR)
+			;
+		close(started[0]);
 		return;
+	}
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	if (getppid() != parent)
 		_exit(1);
@@ -116,7 +128,8 @@
 	dup2(out_fd, 1);
 	dup2(err_fd, 2);
 	for (int fd = 3; fd < 256; fd++)
-		close(fd);
+		if (fd != started[1])
+			close(fd);
 	execv(program.c_str(), args.data());
 	_exit(127);
 }
