Use one store client for both dialects

Cause: libs/platform/http_store.c (evhttp) and platform/store.c (libs/h1) each had their own calls, handles, deadlines, cancellation and rules for lost answers. Change: libs/platform/store_client owns these over libs/h1; a dialect writes requests and reads responses. The HTTP pool tells a body over its limit from a malformed response. The records of joining nodes are awaited in bench_control_cost too, whose figures were those of a join. All operations of both dialects keep their tests; only names of types changed in them.

--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -32,6 +32,9 @@
 namespace
 {
 
+/* Records of 100 joining nodes travel for about two minutes. */
+const int kJoinSeconds = 300;
+
 struct Traffic {
 	long long peer_bytes = 0, platform_bytes = 0;
 	bool counted = false;
@@ -81,21 +84,37 @@
 	return t;
 }
 
-/* Control bytes that a node has sent and received, from its counters. */
-double CounterBytes(const Node &node)
+/* A counter of a node, by its name without the project's prefix. */
+double Counter(const Node &node, const std::string &name)
 {
 	std::string text = Fetch(node.admin_port, "GET", "/metrics").body;
-	double bytes = 0;
+	std::string line = "\nsnipescale_" + name + " ";
+	size_t at = text.find(line);
 
-	for (const char *name :
-	     {"\nsnipescale_control_bytes_sent ", "\nsnipescale_control_bytes_received "}) {
-		size_t at = text.find(name);
+	if (at == std::string::npos)
+		throw std::runtime_error("a node has no counter " + name);
+	return std::atof(text.c_str() + at + line.size());
+}
 
-		if (at == std::string::npos)
-			throw std::runtime_error("a node has no counter of control bytes");
-		bytes += std::atof(text.c_str() + at + std::strlen(name));
+double ControlBytes(const Node &node)
+{
+	return Counter(node, "control_bytes_sent") + Counter(node, "control_bytes_received");
+}
+
+/* The fleet is idle once the records of the nodes that joined have travelled as far as they do.
+ */
+void WaitJoined(Fleet &fleet)
+{
+	for (int i = 0; i < kJoinSeconds; i++) {
+		bool joined = true;
+
+		for (size_t k = 0; k < fleet.size(); k++)
+			joined = joined && Counter(fleet[k], "members_spreading") == 0;
+		if (joined)
+			return;
+		std::this_thread::sleep_for(std::chrono::seconds(1));
 	}
-	return bytes;
+	throw std::runtime_error("records of joining nodes still travel");
 }
 
 void Measure(int size, double seconds)
@@ -122,11 +141,10 @@
 		throw std::runtime_error("the fleet does not settle");
 	for (size_t i = 0; i < fleet.size(); i++)
 		ports.insert(fleet[i].peer_port);
-	/* Connections and subscriptions of the start come to rest. */
-	std::this_thread::sleep_for(std::chrono::seconds(5));
+	WaitJoined(fleet);
 	for (size_t i = 0; i < fleet.size(); i++) {
 		cpu[i] = snipe_bench::CpuSeconds(fleet[i].process->pid());
-		before[i] = CounterBytes(fleet[i]);
+		before[i] = ControlBytes(fleet[i]);
 	}
 	Traffic t = CountTraffic(ports, fleet.platform_relay.port, seconds);
 	for (size_t i = 0; i < fleet.size(); i++) {
@@ -134,7 +152,7 @@
 
 		busy.push_back((snipe_bench::CpuSeconds(pid) - cpu[i]) / seconds * 100);
 		memory.push_back(snipe_bench::ResidentMb(pid));
-		rates.push_back((CounterBytes(fleet[i]) - before[i]) / seconds);
+		rates.push_back((ControlBytes(fleet[i]) - before[i]) / seconds);
 		sum += rates.back();
 	}
 	std::printf("%6d", size);
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -380,6 +380,7 @@
 		fail_and_continue(call, SNIPE_ANSWER_UNKNOWN, SNIPE_GATE_LOST, 1);
 		break;
 	case SNIPE_H1_BROKEN:
+	case SNIPE_H1_TOO_LARGE:
 		fail_and_continue(call, SNIPE_ANSWER_UNKNOWN, SNIPE_GATE_BROKEN, 1);
 		break;
 	}
--- a/libs/h1/pool.c
+++ b/libs/h1/pool.c
@@ -201,7 +201,8 @@
 			continue;
 		if (result != SNIPE_H1_DONE) {
 			drop_connection(call);
-			end_call(call, SNIPE_H1_BROKEN);
+			end_call(call, result == SNIPE_H1_BODY_LIMIT ? SNIPE_H1_TOO_LARGE
+								     : SNIPE_H1_BROKEN);
 			return;
 		}
 		if (is_final(call)) {
--- a/libs/h1/pool.h
+++ b/libs/h1/pool.h
@@ -24,6 +24,7 @@
 	SNIPE_H1_NOT_CONNECTED, /* certainly not one byte of the request was sent */
 	SNIPE_H1_LOST,		/* the connection ended before a response */
 	SNIPE_H1_BROKEN,	/* the response was cut short or malformed */
+	SNIPE_H1_TOO_LARGE,	/* the response's body is over max_body_bytes */
 };
 
 /* Fields are private but for the limits. */
--- a/libs/node/node.c
+++ b/libs/node/node.c
@@ -15,7 +15,7 @@
 #include "node/control_task.h"
 #include "node/peer_task.h"
 #include "node/task_messages.h"
-#include "platform/object_store.h"
+#include "platform/http_store.h"
 
 /* Gossip tells callers' nodes of the drain; until then their calls are rejected here as not
  * run, which only works while the node is there. */
@@ -28,7 +28,7 @@
 	struct event_base *base;
 	struct snipe_counters counters;
 	struct snipe_peer_task peers;
-	struct snipe_http_store store;
+	struct snipe_store_client store;
 	struct snipe_backend_task *backend;
 	struct snipe_caller_task *caller;
 	struct snipe_control_task *control;
--- a/libs/platform/object_store.h
+++ b/libs/platform/object_store.h
@@ -10,15 +10,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "base/address.h"
 #include "base/error.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-struct event_base;
-
 #define SNIPE_OBJECT_MAX_BYTES (1024 * 1024)
 
 struct snipe_object {
@@ -83,25 +80,6 @@
 	const struct snipe_object_store_ops *ops;
 };
 
-struct snipe_http_store_call;
-
-/*
- * The HTTP form of the object API (docs/design.md, section 4), over evhttp. Each operation uses
- * a connection of its own, so that a connection that stopped carrying data delays one operation
- * only, and a write is never sent on a connection that the platform is about to close.
- * The process must ignore SIGPIPE.
- */
-struct snipe_http_store {
-	struct snipe_object_store store; /* first member: the vtable */
-	struct event_base *base;
-	struct snipe_address address;
-	struct snipe_http_store_call *calls;
-	int next_handle;
-};
-
-void snipe_http_store_init(struct snipe_http_store *s, struct event_base *base,
-			   const struct snipe_address *address);
-
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/libs/platform/store_client.c
@@ -0,0 +1,283 @@
+#include "platform/store_client.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/event_struct.h>
+#include <glib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+struct snipe_store_call {
+	struct snipe_store_call *next;
+	struct snipe_store_client *client;
+	struct snipe_store_request request;
+	char *kind, *name;
+	int handle;
+	int timeout_ms;
+	struct snipe_h1_call *http; /* NULL between two requests */
+	struct event deadline;
+	void *state;
+	snipe_object_cb cb;
+	snipe_object_list_cb list_cb;
+	void *arg;
+};
+
+static void unlink_call(struct snipe_store_call *call)
+{
+	struct snipe_store_call **at = &call->client->calls;
+
+	while (*at != call)
+		at = &(*at)->next;
+	*at = call->next;
+}
+
+static void free_call(struct snipe_store_call *call)
+{
+	if (call->http)
+		snipe_h1_call_cancel(call->http);
+	event_del(&call->deadline);
+	if (call->state)
+		call->client->dialect->free_state(call->state);
+	g_free(call->kind);
+	g_free(call->name);
+	g_free(call);
+}
+
+static void end_call(struct snipe_store_call *call, int err, const struct snipe_object *object)
+{
+	unlink_call(call);
+	if (call->request.op == SNIPE_STORE_LIST)
+		call->list_cb(call->arg, err, NULL, 0);
+	else
+		call->cb(call->arg, err, object);
+	free_call(call);
+}
+
+const struct snipe_store_request *snipe_store_call_request(const struct snipe_store_call *call)
+{
+	return &call->request;
+}
+
+void *snipe_store_call_state(const struct snipe_store_call *call)
+{
+	return call->state;
+}
+
+void snipe_store_call_set_state(struct snipe_store_call *call, void *state)
+{
+	call->state = state;
+}
+
+int snipe_store_call_lost_error(const struct snipe_store_call *call)
+{
+	return call->request.op == SNIPE_STORE_PUT ? SNIPE_ERR_UNKNOWN : SNIPE_ERR_UNAVAILABLE;
+}
+
+void snipe_store_call_fail(struct snipe_store_call *call, int err)
+{
+	static const struct snipe_object none;
+
+	end_call(call, err, &none);
+}
+
+void snipe_store_call_give(struct snipe_store_call *call, const struct snipe_object *object)
+{
+	end_call(call, 0, object);
+}
+
+void snipe_store_call_unchanged(struct snipe_store_call *call)
+{
+	struct snipe_object object = {call->request.version, NULL, 0};
+
+	end_call(call, SNIPE_ERR_STALE, &object);
+}
+
+void snipe_store_call_give_list(struct snipe_store_call *call,
+				const struct snipe_object_entry *entries, int count)
+{
+	unlink_call(call);
+	call->list_cb(call->arg, 0, entries, count);
+	free_call(call);
+}
+
+static int result_error(const struct snipe_store_call *call, enum snipe_h1_result result)
+{
+	if (result == SNIPE_H1_NOT_CONNECTED)
+		return SNIPE_ERR_UNAVAILABLE;
+	if (result == SNIPE_H1_TOO_LARGE && call->request.op != SNIPE_STORE_PUT)
+		return SNIPE_ERR_TOO_LARGE;
+	return snipe_store_call_lost_error(call);
+}
+
+static void on_done(void *arg, enum snipe_h1_result result,
+		    const struct snipe_h1_message *response)
+{
+	struct snipe_store_call *call = arg;
+
+	call->http = NULL;
+	if (result == SNIPE_H1_COMPLETE)
+		call->client->dialect->take_response(call->client, call, response);
+	else
+		snipe_store_call_fail(call, result_error(call, result));
+}
+
+static const struct snipe_h1_call_ops http_ops = {NULL, on_done};
+
+static void on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	struct snipe_store_call *call = arg;
+
+	(void)fd;
+	(void)what;
+	/* The connection may have stopped carrying data; it is closed with the call. */
+	snipe_store_call_fail(call, snipe_store_call_lost_error(call));
+}
+
+void snipe_store_call_continue(struct snipe_store_call *call, struct evbuffer *request)
+{
+	struct timeval tv = snipe_timeval((int64_t)call->timeout_ms * 1000);
+
+	call->http = snipe_h1_call_start(&call->client->pool, request, 0, &http_ops, call);
+	event_add(&call->deadline, &tv);
+}
+
+static struct snipe_store_call *new_call(struct snipe_object_store *store,
+					 const struct snipe_store_request *request,
+					 int timeout_ms, void *arg)
+{
+	struct snipe_store_client *c = (struct snipe_store_client *)store;
+	struct snipe_store_call *call = g_new0(struct snipe_store_call, 1);
+
+	call->client = c;
+	call->request = *request;
+	call->request.kind = call->kind = g_strdup(request->kind);
+	call->request.name = call->name = g_strdup(request->name);
+	call->timeout_ms = timeout_ms;
+	call->arg = arg;
+	c->next_handle = c->next_handle == G_MAXINT ? 1 : c->next_handle + 1;
+	call->handle = c->next_handle;
+	event_assign(&call->deadline, c->base, -1, 0, on_deadline, call);
+	call->next = c->calls;
+	c->calls = call;
+	return call;
+}
+
+/* Returns the handle, or an error; then the call is gone. */
+static int start_call(struct snipe_store_call *call, const char *value, size_t len)
+{
+	struct evbuffer *out = evbuffer_new();
+	int ret = call->client->dialect->write_request(call->client, &call->request, value, len,
+						       out);
+
+	if (ret < 0) {
+		unlink_call(call);
+		free_call(call);
+	} else {
+		ret = call->handle;
+		snipe_store_call_continue(call, out);
+	}
+	evbuffer_free(out);
+	return ret;
+}
+
+static int start_object_call(struct snipe_object_store *store,
+			     const struct snipe_store_request *request, int timeout_ms,
+			     snipe_object_cb cb, void *arg)
+{
+	struct snipe_store_call *call = new_call(store, request, timeout_ms, arg);
+
+	call->cb = cb;
+	return start_call(call, NULL, 0);
+}
+
+int snipe_store_client_get(struct snipe_object_store *store, const char *kind, const char *name,
+			   int timeout_ms, snipe_object_cb cb, void *arg)
+{
+	struct snipe_store_request request = {SNIPE_STORE_GET, kind, name, 0, 0, 0};
+
+	return start_object_call(store, &request, timeout_ms, cb, arg);
+}
+
+int snipe_store_client_get_once(struct snipe_object_store *store, const char *kind,
+				const char *name, int timeout_ms, snipe_object_cb cb, void *arg)
+{
+	struct snipe_store_request request = {SNIPE_STORE_GET_ONCE, kind, name, 0, 0, 0};
+
+	return start_object_call(store, &request, timeout_ms, cb, arg);
+}
+
+int snipe_store_client_watch(struct snipe_object_store *store, const char *kind,
+			     const char *name, uint64_t after, int wait_ms, int timeout_ms,
+			     snipe_object_cb cb, void *arg)
+{
+	struct snipe_store_request request = {SNIPE_STORE_WATCH, kind, name, after, wait_ms, 0};
+
+	if (wait_ms < 0)
+		return SNIPE_ERR_INVALID;
+	return start_object_call(store, &request, wait_ms + timeout_ms, cb, arg);
+}
+
+int snipe_store_client_list(struct snipe_object_store *store, const char *kind, int allow_stale,
+			    int timeout_ms, snipe_object_list_cb cb, void *arg)
+{
+	struct snipe_store_request request = {SNIPE_STORE_LIST, kind, NULL, 0, 0, allow_stale};
+	struct snipe_store_call *call = new_call(store, &request, timeout_ms, arg);
+
+	call->list_cb = cb;
+	return start_call(call, NULL, 0);
+}
+
+int snipe_store_client_put(struct snipe_object_store *store, const char *kind, const char *name,
+			   uint64_t if_version, const char *value, size_t len, int timeout_ms,
+			   snipe_object_cb cb, void *arg)
+{
+	struct snipe_store_request request = {SNIPE_STORE_PUT, kind, name, if_version, 0, 0};
+	struct snipe_store_call *call;
+
+	if (len > SNIPE_OBJECT_MAX_BYTES)
+		return SNIPE_ERR_TOO_LARGE;
+	call = new_call(store, &request, timeout_ms, arg);
+	call->cb = cb;
+	return start_call(call, value, len);
+}
+
+void snipe_store_client_cancel(struct snipe_object_store *store, int handle)
+{
+	struct snipe_store_client *c = (struct snipe_store_client *)store;
+
+	for (struct snipe_store_call *call = c->calls; call; call = call->next) {
+		if (call->handle == handle) {
+			unlink_call(call);
+			free_call(call);
+			return;
+		}
+	}
+}
+
+void snipe_store_client_finish(struct snipe_object_store *store)
+{
+	struct snipe_store_client *c = (struct snipe_store_client *)store;
+
+	while (c->calls)
+		snipe_store_client_cancel(store, c->calls->handle);
+	snipe_h1_pool_finish(&c->pool);
+}
+
+void snipe_store_client_init(struct snipe_store_client *c,
+			     const struct snipe_object_store_ops *ops,
+			     const struct snipe_store_dialect *dialect, struct event_base *base,
+			     const struct snipe_address *address)
+{
+	memset(c, 0, sizeof(*c));
+	c->store.ops = ops;
+	c->dialect = dialect;
+	c->base = base;
+	snipe_h1_pool_init(&c->pool, base);
+	snipe_h1_pool_set_address(&c->pool, address);
+}
+
+void snipe_store_client_move(struct snipe_store_client *c, const struct snipe_address *address)
+{
+	snipe_h1_pool_set_address(&c->pool, address);
+}
--- a/programs/snipescale/client.c
+++ b/programs/snipescale/client.c
@@ -4,13 +4,13 @@
 #include <string.h>
 
 #include "operator.h"
-#include "platform/object_store.h"
+#include "platform/http_store.h"
 
 #define CALL_TIMEOUT_MS 3000
 #define NODE_TIMEOUT_S 5
 
 static struct event_base *base;
-static struct snipe_http_store http_store;
+static struct snipe_store_client http_store;
 
 /* Result of one call that the event loop is run for. */
 struct call {
--- a/tests/adapter/store_test.cc
+++ b/tests/adapter/store_test.cc
@@ -41,7 +41,7 @@
 	}
 	void TearDown() override
 	{
-		client.store.ops->finish(&client.store);
+		client.http.store.ops->finish(&client.http.store);
 		snipe_h1_server_finish(&server);
 	}
 	static void on_request(void *arg, struct snipe_h1_request *req)
@@ -83,21 +83,22 @@
 	void get()
 	{
 		count = 0;
-		client.store.ops->get(&client.store, "config", "main", 300, on_object, this);
+		client.http.store.ops->get(&client.http.store, "config", "main", 300, on_object,
+					   this);
 		ASSERT_TRUE(loop.until([&] { return count > 0; }));
 	}
 	void watch(uint64_t after)
 	{
 		count = 0;
-		client.store.ops->watch(&client.store, "config", "main", after, 100, 300,
-					on_object, this);
+		client.http.store.ops->watch(&client.http.store, "config", "main", after, 100,
+					     300, on_object, this);
 		ASSERT_TRUE(loop.until([&] { return count > 0; }));
 	}
 	void put(uint64_t if_version)
 	{
 		count = 0;
-		client.store.ops->put(&client.store, "nodes", "n-1", if_version, "1.2.3.4:5", 9,
-				      300, on_object, this);
+		client.http.store.ops->put(&client.http.store, "nodes", "n-1", if_version,
+					   "1.2.3.4:5", 9, 300, on_object, this);
 		ASSERT_TRUE(loop.until([&] { return count > 0; }));
 	}
 };
@@ -156,8 +157,8 @@
 {
 	auto get_once = [&] {
 		count = 0;
-		client.store.ops->get_once(&client.store, "departures", "n-1", 300, on_object,
-					   this);
+		client.http.store.ops->get_once(&client.http.store, "departures", "n-1", 300,
+						on_object, this);
 		ASSERT_TRUE(loop.until([&] { return count > 0; }));
 	};
 
@@ -239,7 +240,7 @@
 	script = {{200, page(object("n-1", 3, "\"1.2.3.4:5\"") + ",7,{\"metadata\":{}},{}," +
 				     object("n-2", 4, "{\"a\":1}"),
 			     false, 500)}};
-	client.store.ops->list(&client.store, "nodes", 1, 300, on_list, this);
+	client.http.store.ops->list(&client.http.store, "nodes", 1, 300, on_list, this);
 	ASSERT_TRUE(loop.until([&] { return count > 0; }));
 	EXPECT_EQ(err, 0);
 	EXPECT_EQ(requests[0], "GET /snipescale/objects/nodes?allow-stale=1");
@@ -286,7 +287,7 @@
 {
 	struct snipe_address nobody = free_address();
 
-	snipe_adapter_store_move(&client, &nobody);
+	snipe_store_client_move(&client.http, &nobody);
 	put(0);
 	EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE);
 }
@@ -294,9 +295,9 @@
 TEST_F(Store, CancelledCallsAreSilent)
 {
 	script = {{0, ""}};
-	int handle =
-		client.store.ops->get(&client.store, "config", "main", 100, on_object, this);
-	client.store.ops->cancel(&client.store, handle);
+	int handle = client.http.store.ops->get(&client.http.store, "config", "main", 100,
+						on_object, this);
+	client.http.store.ops->cancel(&client.http.store, handle);
 	loop.run_ms(200);
 	EXPECT_EQ(count, 0);
 }
--- a/tests/platform/fake_platform_test.cc
+++ b/tests/platform/fake_platform_test.cc
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-#include "platform/object_store.h"
+#include "platform/http_store.h"
 #include "stand_in.h"
 
 class FakePlatform : public ::testing::Test
@@ -106,7 +106,7 @@
 	event_base *base;
 	std::unique_ptr<StandIn> platform;
 	struct snipe_address address;
-	struct snipe_http_store http;
+	struct snipe_store_client http;
 	struct snipe_object_store *store;
 	std::vector<int> errs;
 	uint64_t version = 0;
--- a/tests/platform/http_store_test.cc
+++ b/tests/platform/http_store_test.cc
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/object_store.h"
+#include "platform/http_store.h"
 
 // Reads one request from each connection and then plays the scripted bytes.
 class ScriptedServer
@@ -153,7 +153,7 @@
 	}
 	event_base *base;
 	std::unique_ptr<ScriptedServer> server;
-	struct snipe_http_store http;
+	struct snipe_store_client http;
 	struct snipe_object_store *store;
 	int calls = 0, err = 0;
 	uint64_t version = 0;
--- a/tests/platform/operator_program_test.cc
+++ b/tests/platform/operator_program_test.cc
@@ -2,11 +2,12 @@
 // reported as a failure, a conflict without a remedy, a key that stays in force.
 #include <glib.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 #include <memory>
 #include <string>
 
-#include "platform/object_store.h"
+#include "platform/http_store.h"
 #include "stand_in.h"
 
 struct Result {
