--- a/libs/platform/store_client.c
+++ b/libs/platform/store_client.c
@@ -259,8 +259,11 @@
 {
 	struct snipe_store_client *c = (struct snipe_store_client *)store;
 
-	while (c->calls)
-		snipe_store_client_cancel(store, c->calls->handle);
+	for (struct snipe_store_call *call = c->calls, *next; call; call = next) {
+		next = call->next;
+		free_call(call);
+	}
+	c->calls = NULL;
 	snipe_h1_pool_finish(&c->pool);
 }
 
