--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -90,6 +90,14 @@
 	return 0;
 }
 
+/* Reads the tables again after the given number of reads in a row that brought none. */
+static void retry_tables(struct snipe_sync *s, int reads)
+{
+	set_timer(&s->retry, snipe_directory_is_reader(s->config.directory) || !s->routing
+				     ? snipe_backoff_us(s->rng, reads)
+				     : ALONE_PAUSE_US);
+}
+
 static void on_tables(void *arg, int err, const struct snipe_object *object)
 {
 	struct snipe_sync *s = arg;
@@ -98,12 +106,23 @@
 	if (err == 0 || err == SNIPE_ERR_STALE) {
 		store_answered(s);
 		s->version = object->version;
+		s->missing_reads = 0;
 		/* Tables that cannot be read may withdraw a key: nothing is confirmed then. */
 		if (err == SNIPE_ERR_STALE || load(s, object->value, object->len, "store") == 0)
 			s->config.confirmed(s->config.arg, s->sent_us);
 		read_tables(s);
 		return;
 	}
+	if (err == SNIPE_ERR_NOT_FOUND) {
+		/* The store is reachable; operators have yet to write the first tables. */
+		store_answered(s);
+		if (s->missing_reads++ == 0)
+			snipe_log(SNIPE_LOG_INFO, "tables_not_written", "version=%llu",
+				  (unsigned long long)s->version);
+		s->version = 0;
+		retry_tables(s, s->missing_reads);
+		return;
+	}
 	if (err == SNIPE_ERR_HISTORY_LOST) {
 		snipe_log(SNIPE_LOG_INFO, "store_history_lost", "version=%llu",
 			  (unsigned long long)s->version);
@@ -112,9 +131,7 @@
 		return;
 	}
 	store_failed(s, s->version ? "watch" : "get", err);
-	set_timer(&s->retry, snipe_directory_is_reader(s->config.directory) || !s->routing
-				     ? snipe_backoff_us(s->rng, s->failures)
-				     : ALONE_PAUSE_US);
+	retry_tables(s, s->failures);
 }
 
 /* Whether this node has to ask the store itself. */
--- a/libs/gateway/sync.h
+++ b/libs/gateway/sync.h
@@ -47,7 +47,8 @@
 	uint64_t version;	       /* of the object; 0: get the tables first */
 	int handle;		       /* open read of the tables; 0: none */
 	int64_t sent_us;
-	int failures; /* in a row */
+	int failures;	   /* in a row */
+	int missing_reads; /* in a row that found no tables */
 	int64_t lost_us;
 	int is_reachable;
 	struct event retry;
--- a/tests/adapter/dialect_test.cc
+++ b/tests/adapter/dialect_test.cc
@@ -129,6 +129,17 @@
 	EXPECT_EQ(std::string(t.r->document, t.r->document_len), MANIFEST);
 }
 
+// 0.29 * 1000 is a little below 290; cut off, the shares would not add up to the whole.
+TEST(AdapterTables, FractionsOfAWeightAreRounded)
+{
+	std::string s = replaced("\"weight\":90", "\"weight\":0.29");
+	Tables t(s.replace(s.find("\"weight\":10"), 11, "\"weight\":0.71"));
+
+	ASSERT_EQ(t.ret, 0) << t.err.text;
+	EXPECT_EQ(t.r->routes[0].targets[0].weight, 290);
+	EXPECT_EQ(t.r->routes[0].targets[1].weight, 710);
+}
+
 TEST(AdapterTables, WithoutTenantsNoKeysAreNeeded)
 {
 	std::string s = MANIFEST;
@@ -158,6 +169,7 @@
 		replaced("{\"service\":\"a\",\"weight\":90}",
 			 "{\"service\":\"zz\",\"weight\":90}"),
 		replaced("\"weight\":90", "\"weight\":-1"),
+		replaced("\"weight\":90", "\"weight\":1e9"),
 		replaced("true,\"b\"", "\"yes\",\"b\""),
 		replaced("[\"key-c\"]", "[7]"),
 		replaced("194.5", "\"many\""),
