--- a/tests/adapter/dialect_test.cc
+++ b/tests/adapter/dialect_test.cc
@@ -129,15 +129,15 @@
 	EXPECT_EQ(std::string(t.r->document, t.r->document_len), MANIFEST);
 }
 
-// 0.29 * 1000 is a little below 290; cut off, the shares would not add up to the whole.
+// 32.3 * 1000 is a little below 32300 in binary.
 TEST(AdapterTables, FractionsOfAWeightAreRounded)
 {
-	std::string s = replaced("\"weight\":90", "\"weight\":0.29");
-	Tables t(s.replace(s.find("\"weight\":10"), 11, "\"weight\":0.71"));
+	std::string s = replaced("\"weight\":90", "\"weight\":32.3");
+	Tables t(s.replace(s.find("\"weight\":10"), 11, "\"weight\":67.7"));
 
 	ASSERT_EQ(t.ret, 0) << t.err.text;
-	EXPECT_EQ(t.r->routes[0].targets[0].weight, 290);
-	EXPECT_EQ(t.r->routes[0].targets[1].weight, 710);
+	EXPECT_EQ(t.r->routes[0].targets[0].weight, 32300);
+	EXPECT_EQ(t.r->routes[0].targets[1].weight, 67700);
 }
 
 TEST(AdapterTables, WithoutTenantsNoKeysAreNeeded)
--- a/tests/support/loop.h
+++ b/tests/support/loop.h
@@ -161,11 +161,11 @@
 	}
 };
 
-// An address on which nothing listens. Its port stays reserved until the test program ends, also
-// while the process that it belongs to is restarted: a socket that is bound and does not listen
-// refuses other binds, but not those of listeners with SO_REUSEADDR. Ports below the ephemeral
-// range are not given to outgoing connections, and test programs that run side by side begin at
-// different ones.
+// An address on which nothing listens. Its port stays reserved until the test program ends,
+// also while the process that it belongs to is restarted: a socket that is bound and does not
+// listen refuses other binds, but not those of listeners with SO_REUSEADDR. Ports below the
+// ephemeral range are not given to outgoing connections, and test programs that run side by
+// side begin at different ones.
 inline struct snipe_address free_address()
 {
 	static const int first = 10000, count = 20000, one = 1;
