--- a/libs/platform/store_client.h
+++ b/libs/platform/store_client.h
@@ -60,14 +60,14 @@
 	int next_handle;
 };
 
-/* ops are snipe_store_client_ops, or those of a store without lists. */
+/* ops holds those of the functions below that the dialect can express. */
 void snipe_store_client_init(struct snipe_store_client *c,
 			     const struct snipe_object_store_ops *ops,
 			     const struct snipe_store_dialect *dialect, struct event_base *base,
 			     const struct snipe_address *address);
 void snipe_store_client_move(struct snipe_store_client *c, const struct snipe_address *address);
 
-/* For vtables; those that a dialect cannot express are left out. */
+/* Operations for a vtable; object_store.h says what each does. */
 int snipe_store_client_get(struct snipe_object_store *store, const char *kind, const char *name,
 			   int timeout_ms, snipe_object_cb cb, void *arg);
 int snipe_store_client_get_once(struct snipe_object_store *store, const char *kind,
