Keep one vtable for all dialects of a store client

Cause: the two dialects and a test each wrote the vtable of the same functions, which the client had to export for that. Change: the client has the vtable, and its operations are static. An operation that a dialect does not have is refused like a name that it cannot express; the project's own form has no lists.

--- a/libs/platform/http_store.c
+++ b/libs/platform/http_store.c
@@ -18,7 +18,8 @@
 {
 	char host[SNIPE_ADDRESS_TEXT];
 
-	if (!is_word(request->kind) || !is_word(request->name))
+	if (request->op == SNIPE_STORE_LIST || !is_word(request->kind) ||
+	    !is_word(request->name))
 		return SNIPE_ERR_INVALID;
 	snipe_address_format(&c->pool.address, host);
 	evbuffer_add_printf(out, "%s /v1/objects/%s/%s",
@@ -130,18 +131,10 @@
 
 static const struct snipe_store_dialect dialect = {write_request, take_response, NULL};
 
-static const struct snipe_object_store_ops ops = {
-	.get = snipe_store_client_get,
-	.watch = snipe_store_client_watch,
-	.put = snipe_store_client_put,
-	.cancel = snipe_store_client_cancel,
-	.finish = snipe_store_client_finish,
-};
-
 void snipe_http_store_init(struct snipe_store_client *c, struct event_base *base,
 			   const struct snipe_address *address)
 {
-	snipe_store_client_init(c, &ops, &dialect, base, address);
+	snipe_store_client_init(c, &dialect, base, address);
 	c->pool.idle_limit_us = 0;
 	/* The deadline of the operation ends a connection that is not accepted. */
 	c->pool.connect_timeout_us = 0;
--- a/libs/platform/http_store.h
+++ b/libs/platform/http_store.h
@@ -13,8 +13,8 @@
 extern "C" {
 #endif
 
-/* The store is c->store; its operations return SNIPE_ERR_INVALID for a kind or name that is no
- * word of a-z, 0-9, '-' and '.'. */
+/* The store is c->store; its operations return SNIPE_ERR_INVALID for a list, which this form
+ * has not, and for a kind or name that is no word of a-z, 0-9, '-' and '.'. */
 void snipe_http_store_init(struct snipe_store_client *c, struct event_base *base,
 			   const struct snipe_address *address);
 
--- a/libs/platform/object_store.h
+++ b/libs/platform/object_store.h
@@ -61,19 +61,19 @@
 	/* Drops an operation; its callback is not called. */
 	void (*cancel)(struct snipe_object_store *store, int handle);
 	void (*finish)(struct snipe_object_store *store);
-	/* All objects of a kind, in any order; NULL where the store has no lists. With
-	 * allow_stale the answer may be some seconds old and costs less. */
+	/* All objects of a kind, in any order. With allow_stale the answer may be some seconds
+	 * old and costs less. */
 	int (*list)(struct snipe_object_store *store, const char *kind, int allow_stale,
 		    int timeout_ms, snipe_object_list_cb cb, void *arg);
-	/* One object that is not watched afterwards; NULL where get costs no more. It stays one
-	 * call whatever else the kind holds, and leaves watches as they are. */
+	/* One object that is not watched afterwards. It stays one call whatever else the kind
+	 * holds, and leaves watches as they are. */
 	int (*get_once)(struct snipe_object_store *store, const char *kind, const char *name,
 			int timeout_ms, snipe_object_cb cb, void *arg);
 };
 
 /*
- * Operations return a handle above 0, or a negative error: SNIPE_ERR_INVALID for a kind or name
- * that is no word of a-z, 0-9, '-' and '.', SNIPE_ERR_TOO_LARGE for a value over
+ * Operations return a handle above 0, or a negative error: SNIPE_ERR_INVALID for an operation,
+ * kind or name that this form of the API does not have, SNIPE_ERR_TOO_LARGE for a value over
  * SNIPE_OBJECT_MAX_BYTES. The value of a put is copied.
  */
 struct snipe_object_store {
--- a/libs/platform/store_client.c
+++ b/libs/platform/store_client.c
@@ -191,25 +191,25 @@
 	return start_call(call, NULL, 0);
 }
 
-int snipe_store_client_get(struct snipe_object_store *store, const char *kind, const char *name,
-			   int timeout_ms, snipe_object_cb cb, void *arg)
+static int client_get(struct snipe_object_store *store, const char *kind, const char *name,
+		      int timeout_ms, snipe_object_cb cb, void *arg)
 {
 	struct snipe_store_request request = {SNIPE_STORE_GET, kind, name, 0, 0, 0};
 
 	return start_object_call(store, &request, timeout_ms, cb, arg);
 }
 
-int snipe_store_client_get_once(struct snipe_object_store *store, const char *kind,
-				const char *name, int timeout_ms, snipe_object_cb cb, void *arg)
+static int client_get_once(struct snipe_object_store *store, const char *kind, const char *name,
+			   int timeout_ms, snipe_object_cb cb, void *arg)
 {
 	struct snipe_store_request request = {SNIPE_STORE_GET_ONCE, kind, name, 0, 0, 0};
 
 	return start_object_call(store, &request, timeout_ms, cb, arg);
 }
 
-int snipe_store_client_watch(struct snipe_object_store *store, const char *kind,
-			     const char *name, uint64_t after, int wait_ms, int timeout_ms,
-			     snipe_object_cb cb, void *arg)
+static int client_watch(struct snipe_object_store *store, const char *kind, const char *name,
+			uint64_t after, int wait_ms, int timeout_ms, snipe_object_cb cb,
+			void *arg)
 {
 	struct snipe_store_request request = {SNIPE_STORE_WATCH, kind, name, after, wait_ms, 0};
 
@@ -218,8 +218,8 @@
 	return start_object_call(store, &request, wait_ms + timeout_ms, cb, arg);
 }
 
-int snipe_store_client_list(struct snipe_object_store *store, const char *kind, int allow_stale,
-			    int timeout_ms, snipe_object_list_cb cb, void *arg)
+static int client_list(struct snipe_object_store *store, const char *kind, int allow_stale,
+		       int timeout_ms, snipe_object_list_cb cb, void *arg)
 {
 	struct snipe_store_request request = {SNIPE_STORE_LIST, kind, NULL, 0, 0, allow_stale};
 	struct snipe_store_call *call = new_call(store, &request, timeout_ms, arg);
@@ -228,9 +228,9 @@
 	return start_call(call, NULL, 0);
 }
 
-int snipe_store_client_put(struct snipe_object_store *store, const char *kind, const char *name,
-			   uint64_t if_version, const char *value, size_t len, int timeout_ms,
-			   snipe_object_cb cb, void *arg)
+static int client_put(struct snipe_object_store *store, const char *kind, const char *name,
+		      uint64_t if_version, const char *value, size_t len, int timeout_ms,
+		      snipe_object_cb cb, void *arg)
 {
 	struct snipe_store_request request = {SNIPE_STORE_PUT, kind, name, if_version, 0, 0};
 	struct snipe_store_call *call;
@@ -242,7 +242,7 @@
 	return start_call(call, value, len);
 }
 
-void snipe_store_client_cancel(struct snipe_object_store *store, int handle)
+static void client_cancel(struct snipe_object_store *store, int handle)
 {
 	struct snipe_store_client *c = (struct snipe_store_client *)store;
 
@@ -255,7 +255,7 @@
 	}
 }
 
-void snipe_store_client_finish(struct snipe_object_store *store)
+static void client_finish(struct snipe_object_store *store)
 {
 	struct snipe_store_client *c = (struct snipe_store_client *)store;
 
@@ -267,13 +267,22 @@
 	snipe_h1_pool_finish(&c->pool);
 }
 
+static const struct snipe_object_store_ops ops = {
+	.get = client_get,
+	.get_once = client_get_once,
+	.list = client_list,
+	.watch = client_watch,
+	.put = client_put,
+	.cancel = client_cancel,
+	.finish = client_finish,
+};
+
 void snipe_store_client_init(struct snipe_store_client *c,
-			     const struct snipe_object_store_ops *ops,
 			     const struct snipe_store_dialect *dialect, struct event_base *base,
 			     const struct snipe_address *address)
 {
 	memset(c, 0, sizeof(*c));
-	c->store.ops = ops;
+	c->store.ops = &ops;
 	c->dialect = dialect;
 	c->base = base;
 	snipe_h1_pool_init(&c->pool, base);
--- a/libs/platform/store_client.h
+++ b/libs/platform/store_client.h
@@ -38,7 +38,7 @@
 
 struct snipe_store_dialect {
 	/* Appends the whole request, with value as the body's content for a put. Returns 0, or
-	 * SNIPE_ERR_INVALID for a kind or name that the dialect cannot express. */
+	 * SNIPE_ERR_INVALID for an operation, kind or name that the dialect cannot express. */
 	int (*write_request)(struct snipe_store_client *c,
 			     const struct snipe_store_request *request, const char *value,
 			     size_t len, struct evbuffer *out);
@@ -60,30 +60,11 @@
 	int next_handle;
 };
 
-/* ops holds those of the functions below that the dialect can express. */
 void snipe_store_client_init(struct snipe_store_client *c,
-			     const struct snipe_object_store_ops *ops,
 			     const struct snipe_store_dialect *dialect, struct event_base *base,
 			     const struct snipe_address *address);
 void snipe_store_client_move(struct snipe_store_client *c, const struct snipe_address *address);
 
-/* Operations for a vtable; object_store.h says what each does. */
-int snipe_store_client_get(struct snipe_object_store *store, const char *kind, const char *name,
-			   int timeout_ms, snipe_object_cb cb, void *arg);
-int snipe_store_client_get_once(struct snipe_object_store *store, const char *kind,
-				const char *name, int timeout_ms, snipe_object_cb cb,
-				void *arg);
-int snipe_store_client_list(struct snipe_object_store *store, const char *kind, int allow_stale,
-			    int timeout_ms, snipe_object_list_cb cb, void *arg);
-int snipe_store_client_watch(struct snipe_object_store *store, const char *kind,
-			     const char *name, uint64_t after, int wait_ms, int timeout_ms,
-			     snipe_object_cb cb, void *arg);
-int snipe_store_client_put(struct snipe_object_store *store, const char *kind, const char *name,
-			   uint64_t if_version, const char *value, size_t len, int timeout_ms,
-			   snipe_object_cb cb, void *arg);
-void snipe_store_client_cancel(struct snipe_object_store *store, int handle);
-void snipe_store_client_finish(struct snipe_object_store *store);
-
 /* For dialects. */
 const struct snipe_store_request *snipe_store_call_request(const struct snipe_store_call *call);
 /* What the call keeps between two responses; NULL at first. */
--- a/tests/platform/http_store_test.cc
+++ b/tests/platform/http_store_test.cc
@@ -301,6 +301,12 @@
 			  SNIPE_ERR_INVALID);
 }
 
+TEST_F(HttpStore, HasNoLists)
+{
+	EXPECT_EQ(store->ops->list(store, "config", 0, 100, nullptr, this), SNIPE_ERR_INVALID);
+	EXPECT_EQ(http.calls, nullptr);
+}
+
 // A cancelled operation must never call back, whatever state it is in.
 TEST_F(HttpStore, CancelledOperationsDoNotCallBack)
 {
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -57,11 +57,6 @@
 	},
 };
 
-const struct snipe_object_store_ops store_ops = {
-	snipe_store_client_get,	    snipe_store_client_watch,  snipe_store_client_put,
-	snipe_store_client_cancel,  snipe_store_client_finish, snipe_store_client_list,
-	snipe_store_client_get_once};
-
 struct StoreClient : testing::Test {
 	Loop loop;
 	Listener server;
@@ -76,8 +71,7 @@
 	{
 		signal(SIGPIPE, SIG_IGN);
 		states = 0;
-		snipe_store_client_init(&client, &store_ops, &dialect_ops, loop.base,
-					&server.address);
+		snipe_store_client_init(&client, &dialect_ops, loop.base, &server.address);
 	}
 	void TearDown() override
 	{
