Link calls and connections with the macros of sys/queue.h

Cause: the HTTP client, the HTTP listener, the entry and the project's own call path each wrote the insertion into a doubly linked list and the removal from it by hand. Change: the four use LIST_ENTRY and LIST_HEAD.

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -109,10 +109,7 @@
 	call->deadline_us = call->received_us;
 	call->request_id = id ? id : "";
 	snipe_entry_call_init_timers(call);
-	call->next = e->calls;
-	if (e->calls)
-		e->calls->prev = call;
-	e->calls = call;
+	LIST_INSERT_HEAD(&e->calls, call, link);
 	e->in_flight++;
 	return call;
 }
@@ -235,10 +232,8 @@
 {
 	if (!e->routes)
 		return;
-	for (struct snipe_entry_call *call = e->calls, *next; call; call = next) {
-		next = call->next;
-		snipe_entry_call_free(call);
-	}
+	while (!LIST_EMPTY(&e->calls))
+		snipe_entry_call_free(LIST_FIRST(&e->calls));
 	snipe_h1_server_finish(&e->server);
 	snipe_fleet_quota_finish(&e->quota);
 	g_hash_table_destroy(e->routes);
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -6,6 +6,7 @@
 #define SNIPE_ENTRY_H
 
 #include <glib.h>
+#include <sys/queue.h>
 
 #include "base/counters.h"
 #include "base/histogram.h"
@@ -44,7 +45,7 @@
 	GHashTable *routes;   /* name -> state of a route */
 	GHashTable *services; /* name -> retry budget of a service */
 	GRand *rng;
-	struct snipe_entry_call *calls;
+	LIST_HEAD(snipe_entry_calls, snipe_entry_call) calls;
 	int in_flight;
 	int is_stopping;		/* client requests are refused: the process ends soon */
 	struct snipe_histogram latency; /* of served client requests, microseconds */
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -62,12 +62,7 @@
 		snipe_entry_limit_cancel(&call->state->limit);
 	event_del(&call->timer);
 	event_del(&call->hedge);
-	if (call->prev)
-		call->prev->next = call->next;
-	else
-		e->calls = call->next;
-	if (call->next)
-		call->next->prev = call->prev;
+	LIST_REMOVE(call, link);
 	e->in_flight--;
 	snipe_routing_unref(call->routing);
 	snipe_buffer_finish(&call->failure);
--- a/libs/gateway/entry_state.h
+++ b/libs/gateway/entry_state.h
@@ -47,7 +47,7 @@
 
 struct snipe_entry_call {
 	struct snipe_entry *entry;
-	struct snipe_entry_call *prev, *next;
+	LIST_ENTRY(snipe_entry_call) link;
 	struct snipe_h1_request *req;
 	struct snipe_routing *routing;
 	const struct snipe_gateway_route *route;
--- a/libs/h1/pool.c
+++ b/libs/h1/pool.c
@@ -23,7 +23,7 @@
 
 struct snipe_h1_client_connection {
 	struct snipe_h1_pool *pool;
-	struct snipe_h1_client_connection *prev, *next;
+	LIST_ENTRY(snipe_h1_client_connection) entry;
 	struct bufferevent *bev;
 	struct snipe_h1_call *call; /* NULL: idle */
 	unsigned generation;
@@ -57,12 +57,7 @@
 {
 	struct snipe_h1_pool *p = c->pool;
 
-	if (c->prev)
-		c->prev->next = c->next;
-	else
-		p->connections = c->next;
-	if (c->next)
-		c->next->prev = c->prev;
+	LIST_REMOVE(c, entry);
 	p->connection_count--;
 	if (!c->call)
 		g_queue_remove(&p->idle, c);
@@ -74,8 +69,8 @@
 {
 	struct snipe_h1_client_connection *next;
 
-	for (struct snipe_h1_client_connection *c = p->connections; c; c = next) {
-		next = c->next;
+	for (struct snipe_h1_client_connection *c = LIST_FIRST(&p->connections); c; c = next) {
+		next = LIST_NEXT(c, entry);
 		if (c->call)
 			snipe_h1_call_cancel(c->call);
 		else
@@ -259,10 +254,7 @@
 	c->generation = p->generation;
 	c->bev = bufferevent_socket_new(p->base, -1,
 					BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-	c->next = p->connections;
-	if (c->next)
-		c->next->prev = c;
-	p->connections = c;
+	LIST_INSERT_HEAD(&p->connections, c, entry);
 	p->connection_count++;
 	p->opened_total++;
 	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
--- a/libs/h1/pool.h
+++ b/libs/h1/pool.h
@@ -7,6 +7,7 @@
 #include <event2/event_struct.h>
 #include <glib.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 #include "base/address.h"
 #include "h1/message.h"
@@ -34,7 +35,7 @@
 	size_t max_body_bytes;
 	struct event_base *base;
 	struct snipe_address address;
-	struct snipe_h1_client_connection *connections;
+	LIST_HEAD(snipe_h1_client_connections, snipe_h1_client_connection) connections;
 	GQueue idle; /* most recently used last */
 	unsigned generation;
 	int connection_count;
--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -25,7 +25,7 @@
 
 struct snipe_h1_connection {
 	struct snipe_h1_server *server;
-	struct snipe_h1_connection *prev, *next;
+	LIST_ENTRY(snipe_h1_connection) entry;
 	struct bufferevent *bev;
 	struct snipe_h1_parser parser;
 	struct snipe_h1_request *reading; /* the request being read */
@@ -64,12 +64,7 @@
 {
 	struct snipe_h1_server *s = c->server;
 
-	if (c->prev)
-		c->prev->next = c->next;
-	else
-		s->connections = c->next;
-	if (c->next)
-		c->next->prev = c->prev;
+	LIST_REMOVE(c, entry);
 	s->connection_count--;
 	free_requests(c);
 	if (c->reading)
@@ -342,10 +337,7 @@
 	c->server = s;
 	c->bev = bufferevent_socket_new(s->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	c->active_us = snipe_now_us();
-	c->next = s->connections;
-	if (c->next)
-		c->next->prev = c;
-	s->connections = c;
+	LIST_INSERT_HEAD(&s->connections, c, entry);
 	s->connection_count++;
 	bufferevent_setcb(c->bev, on_read, on_written, on_event, c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
@@ -380,8 +372,8 @@
 
 	(void)fd;
 	(void)what;
-	for (struct snipe_h1_connection *c = s->connections; c; c = next) {
-		next = c->next;
+	for (struct snipe_h1_connection *c = LIST_FIRST(&s->connections); c; c = next) {
+		next = LIST_NEXT(c, entry);
 		check_timeouts(c, now);
 	}
 }
@@ -422,8 +414,8 @@
 
 	if (!s->listener)
 		return;
-	for (struct snipe_h1_connection *c = s->connections; c; c = next) {
-		next = c->next;
+	for (struct snipe_h1_connection *c = LIST_FIRST(&s->connections); c; c = next) {
+		next = LIST_NEXT(c, entry);
 		release(c);
 	}
 	event_del(&s->sweep);
@@ -440,8 +432,8 @@
 {
 	struct snipe_h1_connection *next;
 
-	for (struct snipe_h1_connection *c = s->connections; c; c = next) {
-		next = c->next;
+	for (struct snipe_h1_connection *c = LIST_FIRST(&s->connections); c; c = next) {
+		next = LIST_NEXT(c, entry);
 		if (is_idle(c) && !c->linger_until_us)
 			close_connection(c);
 	}
@@ -449,8 +441,10 @@
 
 int snipe_h1_server_is_busy(const struct snipe_h1_server *s)
 {
-	for (const struct snipe_h1_connection *c = s->connections; c; c = c->next)
-		if (c->first || evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
-			return 1;
+	const struct snipe_h1_connection *c;
+
+	LIST_FOREACH(c, &s->connections, entry)
+	if (c->first || evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
+		return 1;
 	return 0;
 }
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -7,6 +7,7 @@
 
 #include <event2/event_struct.h>
 #include <glib.h>
+#include <sys/queue.h>
 
 #include "base/address.h"
 #include "base/error.h"
@@ -74,7 +75,7 @@
 	struct event_base *base;
 	struct evconnlistener *listener;
 	struct event sweep;
-	struct snipe_h1_connection *connections;
+	LIST_HEAD(snipe_h1_connections, snipe_h1_connection) connections;
 	int connection_count;
 	int is_closing;
 	const struct snipe_h1_server_ops *ops;
--- a/libs/node/caller_call.c
+++ b/libs/node/caller_call.c
@@ -37,12 +37,7 @@
 	if (call->depth == 1)
 		snipe_retry_ledger_close(&t->ledger, call->id);
 	event_del(&call->timer);
-	if (call->prev)
-		call->prev->next = call->next;
-	else
-		t->calls = call->next;
-	if (call->next)
-		call->next->prev = call->prev;
+	LIST_REMOVE(call, link);
 	snipe_snapshot_unref(call->snapshot);
 	g_free(call->claim);
 	t->in_flight--;
@@ -233,10 +228,7 @@
 	event_assign(&call->timer, t->base, -1, 0, on_timer, call);
 	if (t->snapshot)
 		call->snapshot = snipe_snapshot_ref(t->snapshot);
-	call->next = t->calls;
-	if (t->calls)
-		t->calls->prev = call;
-	t->calls = call;
+	LIST_INSERT_HEAD(&t->calls, call, link);
 	t->in_flight++;
 	return call;
 }
--- a/libs/node/caller_state.h
+++ b/libs/node/caller_state.h
@@ -7,6 +7,7 @@
 #include <event2/event_struct.h>
 #include <event2/bufferevent.h>
 #include <glib.h>
+#include <sys/queue.h>
 
 #include "base/histogram.h"
 #include "core/quota.h"
@@ -55,7 +56,7 @@
  */
 struct snipe_call {
 	struct snipe_caller_task *task;
-	struct snipe_call *prev, *next; /* in task->calls */
+	LIST_ENTRY(snipe_call) link; /* in task->calls */
 	struct evhttp_request *req;
 	/* callbacks of the connection, replaced while the response is awaited */
 	struct bufferevent *bev; /* NULL: caller has left */
@@ -124,7 +125,7 @@
 	struct snipe_quota_cache quota;
 	GHashTable *token_queues; /* workspace -> GQueue of waiting calls, oldest first */
 	GHashTable *claim_waits;  /* call id -> call */
-	struct snipe_call *calls;
+	LIST_HEAD(snipe_calls, snipe_call) calls;
 	int in_flight;
 	uint64_t next_id;
 	struct snipe_rejection_log rejections;
--- a/libs/node/caller_task.c
+++ b/libs/node/caller_task.c
@@ -209,8 +209,8 @@
 
 void snipe_caller_task_free(struct snipe_caller_task *t)
 {
-	while (t->calls)
-		snipe_call_abandon(t->calls);
+	while (!LIST_EMPTY(&t->calls))
+		snipe_call_abandon(LIST_FIRST(&t->calls));
 	if (t->outside)
 		evhttp_free(t->outside);
 	if (t->local)
