--- a/libs/base/log.c
+++ b/libs/base/log.c
@@ -49,18 +49,21 @@
 static void write_some(void)
 {
 	struct pollfd p = {STDOUT_FILENO, POLLOUT, 0};
+	size_t written = 0;
 	ssize_t n;
 
-	while (output.len > 0 && poll(&p, 1, 0) > 0) {
-		n = write(STDOUT_FILENO, output.data, MIN(output.len, WRITE_BYTES));
+	while (written < output.len && poll(&p, 1, 0) > 0) {
+		n = write(STDOUT_FILENO, output.data + written,
+			  MIN(output.len - written, WRITE_BYTES));
 		/* Nothing reads the output any more: the lines are of no use. */
 		if (n <= 0) {
 			output.len = 0;
 			return;
 		}
-		output.len -= (size_t)n;
-		memmove(output.data, output.data + n, output.len);
+		written += (size_t)n;
 	}
+	output.len -= written;
+	memmove(output.data, output.data + written, output.len);
 }
 
 void snipe_log_flush(void)
