Compute once for each request what its checks share

Cause: each check of a request read the clock again and had its own copy of the result "accepted"; the bound of repeats that may be saved up was computed twice. Conclusion: no change of behaviour; adapter_store, gateway_gate and process_platform tests pass.

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -44,14 +44,14 @@
 static struct snipe_entry_service *find_service_state(struct snipe_entry *e, const char *name)
 {
 	struct snipe_entry_service *s = g_hash_table_lookup(e->services, name);
+	double ratio = e->config.settings->retry_ratio, most;
 
 	if (s)
 		return s;
+	most = saved_max(e);
 	s = g_new0(struct snipe_entry_service, 1);
-	snipe_retry_share_init(&s->reruns, RERUN_PART * e->config.settings->retry_ratio,
-			       saved_max(e));
-	snipe_retry_share_init(&s->resends, RESEND_PART * e->config.settings->retry_ratio,
-			       saved_max(e));
+	snipe_retry_share_init(&s->reruns, RERUN_PART * ratio, most);
+	snipe_retry_share_init(&s->resends, RESEND_PART * ratio, most);
 	g_hash_table_insert(e->services, g_strdup(name), s);
 	return s;
 }
@@ -117,8 +117,10 @@
 /* What may be repeated grows with the calls; nodes that are away count as well. */
 static void count_call(struct snipe_entry *e, struct snipe_entry_service *s)
 {
-	snipe_retry_share_set_saved_max(&s->reruns, saved_max(e));
-	snipe_retry_share_set_saved_max(&s->resends, saved_max(e));
+	double most = saved_max(e);
+
+	snipe_retry_share_set_saved_max(&s->reruns, most);
+	snipe_retry_share_set_saved_max(&s->resends, most);
 	snipe_retry_share_on_call(&s->reruns);
 	snipe_retry_share_on_call(&s->resends);
 }
--- a/libs/gateway/entry_check.c
+++ b/libs/gateway/entry_check.c
@@ -4,7 +4,6 @@
 #include <string.h>
 #include <strings.h>
 
-#include "base/clock.h"
 #include "base/error.h"
 #include "base/hash.h"
 
@@ -22,6 +21,8 @@
 /* Fields that the node adds to those of the caller: its service and the workspace. */
 #define ADDED_FIELDS 2
 
+static const struct snipe_entry_rejection accepted;
+
 static int64_t key_trust_us(const struct snipe_entry *e)
 {
 	return (int64_t)(KEY_TRUST_PART * (double)e->config.settings->key_revocation_us);
@@ -35,7 +36,6 @@
 /* Returns 0, or a status with its reason. */
 static struct snipe_entry_rejection check_key(struct snipe_entry_call *call)
 {
-	static const struct snipe_entry_rejection accepted;
 	struct snipe_entry *e = call->entry;
 	const struct snipe_h1_message *m = &call->req->message;
 	const char *scheme = e->config.dialect->headers.key_scheme;
@@ -43,7 +43,7 @@
 	size_t len = strlen(scheme);
 	int is_key = value && snipe_h1_count(m, "Authorization") == 1 &&
 		     strncasecmp(value, scheme, len) == 0 && value[len] == ' ';
-	int64_t now = snipe_now_us();
+	int64_t now = call->received_us;
 
 	call->workspace = -1;
 	if (is_key) {
@@ -67,7 +67,6 @@
 
 static struct snipe_entry_rejection check_route(struct snipe_entry_call *call)
 {
-	static const struct snipe_entry_rejection accepted;
 	struct snipe_entry *e = call->entry;
 	const struct snipe_h1_message *m = &call->req->message;
 	const char *host = snipe_h1_find(m, "Host");
@@ -83,7 +82,7 @@
 						      RETRY_AFTER_NO_TABLES_US};
 	call->routing = snipe_routing_ref(e->routing);
 	call->route = snipe_routing_match(call->routing, host, m->url.data, path_len);
-	if (!call->route && snipe_now_us() - e->confirmed_us > FRESH_US)
+	if (!call->route && call->received_us - e->confirmed_us > FRESH_US)
 		return (struct snipe_entry_rejection){503, "tables_not_confirmed",
 						      RETRY_AFTER_NO_TABLES_US};
 	if (!call->route)
@@ -94,7 +93,6 @@
 /* Sets the deadline from the caller's time and the route's timeout. */
 static struct snipe_entry_rejection check_deadline(struct snipe_entry_call *call)
 {
-	static const struct snipe_entry_rejection accepted;
 	const char *text = snipe_h1_find(&call->req->message,
 					 call->entry->config.dialect->headers.time_left_ms);
 	int64_t left_us = call->route->timeout_us;
@@ -113,15 +111,14 @@
 
 static struct snipe_entry_rejection check_rate(struct snipe_entry_call *call)
 {
-	static const struct snipe_entry_rejection accepted;
 	struct snipe_entry *e = call->entry;
-	int64_t now = snipe_now_us(), retry_after;
+	int64_t retry_after;
 	uint64_t hash;
 
 	if (call->workspace < 0 || call->route->open)
 		return accepted;
 	hash = snipe_hash64_str(call->routing->workspaces[call->workspace].name);
-	if (!snipe_fleet_quota_take(&e->quota, now, hash, &retry_after))
+	if (!snipe_fleet_quota_take(&e->quota, call->received_us, hash, &retry_after))
 		return (struct snipe_entry_rejection){429, "over_rate", retry_after};
 	call->workspace_hash = hash;
 	return accepted;
