Share the object store that a test answers

Cause: the tests of the departure log and of the tables each wrote a store whose calls the test answers. Change: tests/support/held_store.h serves both. As before in one of them, a failed call carries no object. The assertions are unchanged but for the name of a field.

--- a/tests/gateway/departure_log_test.cc
+++ b/tests/gateway/departure_log_test.cc
@@ -7,58 +7,15 @@
 #include <vector>
 
 #include "gateway/departure_log.h"
+#include "support/held_store.h"
 #include "support/loop.h"
 
 namespace
 {
 
-// A store with one object; the test answers each call.
-struct Store {
-	struct snipe_object_store store; // first member: the vtable
-	struct Call {
-		std::string what, value;
-		uint64_t if_version;
-		snipe_object_cb cb;
-		void *arg;
-	};
-	std::vector<Call> calls;
-	int cancelled = 0;
-
-	static int on_get(struct snipe_object_store *s, const char *, const char *, int,
-			  snipe_object_cb cb, void *arg)
-	{
-		auto *self = reinterpret_cast<Store *>(s);
-
-		self->calls.push_back({"get", "", 0, cb, arg});
-		return (int)self->calls.size();
-	}
-	static int on_put(struct snipe_object_store *s, const char *, const char *,
-			  uint64_t if_version, const char *value, size_t len, int,
-			  snipe_object_cb cb, void *arg)
-	{
-		auto *self = reinterpret_cast<Store *>(s);
-
-		self->calls.push_back({"put", std::string(value, len), if_version, cb, arg});
-		return (int)self->calls.size();
-	}
-	static void on_cancel(struct snipe_object_store *s, int)
-	{
-		reinterpret_cast<Store *>(s)->cancelled++;
-	}
-	// Answers the last call.
-	void answer(int err, uint64_t version = 0, const std::string &value = "")
-	{
-		Call call = calls.back();
-		struct snipe_object o = {version, value.data(), value.size()};
-
-		call.cb(call.arg, err, err ? nullptr : &o);
-	}
-};
-
 struct DepartureLog : testing::Test {
 	Loop loop;
-	Store store;
-	struct snipe_object_store_ops ops = {};
+	HeldStore store;
 	struct snipe_departure_log log;
 	std::vector<struct snipe_departure> recalled;
 	int written = 0;
@@ -68,10 +25,6 @@
 	{
 		struct snipe_departure_log_config c = {};
 
-		ops.get_once = Store::on_get;
-		ops.put = Store::on_put;
-		ops.cancel = Store::on_cancel;
-		store.store.ops = &ops;
 		c.base = loop.base;
 		c.store = &store.store;
 		c.kind = "departures";
@@ -113,36 +66,36 @@
 	ASSERT_EQ(store.calls.size(), 1u);
 	EXPECT_EQ(store.calls[0].what, "put");
 	EXPECT_EQ(store.calls[0].value, "1000 4 i-1");
-	EXPECT_EQ(store.calls[0].if_version, 0u);
+	EXPECT_EQ(store.calls[0].version, 0u);
 	EXPECT_TRUE(snipe_departure_log_is_writing(&log));
-	store.answer(0, 9);
+	store.calls.back().answer(0, 9);
 	EXPECT_FALSE(snipe_departure_log_is_writing(&log));
 	EXPECT_EQ(written, 1);
 	record("i-2", 1);
-	EXPECT_EQ(store.calls.back().if_version, 9u);
+	EXPECT_EQ(store.calls.back().version, 9u);
 }
 
 TEST_F(DepartureLog, ALaterProcessRecallsTheDeparture)
 {
 	start(false);
 	ASSERT_EQ(store.calls.size(), 1u);
-	store.answer(0, 9, "1000 4 i-1");
+	store.calls.back().answer(0, 9, "1000 4 i-1");
 	ASSERT_EQ(recalled.size(), 1u);
 	EXPECT_STREQ(recalled[0].server_id, "i-1");
 	EXPECT_EQ(recalled[0].sequence, 4u);
 	EXPECT_EQ(store.calls.size(), 1u);
 	record("i-1", 5);
-	EXPECT_EQ(store.calls.back().if_version, 9u);
+	EXPECT_EQ(store.calls.back().version, 9u);
 }
 
 TEST_F(DepartureLog, AskedAgainUntilTheStoreAnswers)
 {
 	start(false);
-	store.answer(SNIPE_ERR_UNAVAILABLE);
+	store.calls.back().answer(SNIPE_ERR_UNAVAILABLE);
 	ASSERT_TRUE(call(2));
-	store.answer(SNIPE_ERR_RATE_LIMITED);
+	store.calls.back().answer(SNIPE_ERR_RATE_LIMITED);
 	ASSERT_TRUE(call(3));
-	store.answer(SNIPE_ERR_NOT_FOUND);
+	store.calls.back().answer(SNIPE_ERR_NOT_FOUND);
 	EXPECT_TRUE(recalled.empty());
 	loop.run_ms(50);
 	EXPECT_EQ(store.calls.size(), 3u);
@@ -153,21 +106,21 @@
 	start(false);
 	record("i-2", 1);
 	EXPECT_EQ(store.calls.size(), 1u);
-	store.answer(0, 9, "1000 4 i-1");
+	store.calls.back().answer(0, 9, "1000 4 i-1");
 	ASSERT_EQ(store.calls.size(), 2u);
 	EXPECT_EQ(store.calls[1].value, "1000 1 i-2");
-	EXPECT_EQ(store.calls[1].if_version, 9u);
+	EXPECT_EQ(store.calls[1].version, 9u);
 }
 
 TEST_F(DepartureLog, AWriteThatFailsIsRepeated)
 {
 	start(true);
 	record("i-1", 4);
-	store.answer(SNIPE_ERR_UNAVAILABLE);
+	store.calls.back().answer(SNIPE_ERR_UNAVAILABLE);
 	EXPECT_TRUE(snipe_departure_log_is_writing(&log));
 	ASSERT_TRUE(call(2));
 	EXPECT_EQ(store.calls[1].what, "put");
-	store.answer(0, 9);
+	store.calls.back().answer(0, 9);
 	EXPECT_EQ(written, 1);
 }
 
@@ -175,18 +128,18 @@
 {
 	start(true);
 	record("i-1", 4);
-	store.answer(SNIPE_ERR_UNKNOWN); // the write may have been done
+	store.calls.back().answer(SNIPE_ERR_UNKNOWN); // the write may have been done
 	ASSERT_TRUE(call(2));
 	EXPECT_EQ(store.calls[1].what, "get");
-	store.answer(0, 12, "1000 4 i-1");
+	store.calls.back().answer(0, 12, "1000 4 i-1");
 	EXPECT_TRUE(recalled.empty()) << "it is not a departure of an earlier process";
 	ASSERT_EQ(store.calls.size(), 3u);
-	EXPECT_EQ(store.calls[2].if_version, 12u);
-	store.answer(SNIPE_ERR_CONFLICT);
+	EXPECT_EQ(store.calls[2].version, 12u);
+	store.calls.back().answer(SNIPE_ERR_CONFLICT);
 	ASSERT_EQ(store.calls.size(), 4u);
 	EXPECT_EQ(store.calls[3].what, "get");
-	store.answer(0, 13, "x");
-	store.answer(0, 14);
+	store.calls.back().answer(0, 13, "x");
+	store.calls.back().answer(0, 14);
 	EXPECT_EQ(written, 1);
 	EXPECT_FALSE(snipe_departure_log_is_writing(&log));
 }
@@ -197,21 +150,21 @@
 	record("i-1", 4);
 	record("i-1", SNIPE_DEPARTURE_FINAL);
 	ASSERT_EQ(store.calls.size(), 1u);
-	store.answer(0, 9);
+	store.calls.back().answer(0, 9);
 	EXPECT_EQ(written, 0) << "the later one is not in the store";
 	ASSERT_EQ(store.calls.size(), 2u);
 	EXPECT_EQ(store.calls[1].value, "1000 18446744073709551615 i-1");
-	store.answer(0, 10);
+	store.calls.back().answer(0, 10);
 	EXPECT_EQ(written, 1);
 }
 
 TEST_F(DepartureLog, WhatCannotBeReadIsNoDeparture)
 {
 	start(false);
-	store.answer(0, 9, "{\"left\":1}");
+	store.calls.back().answer(0, 9, "{\"left\":1}");
 	EXPECT_TRUE(recalled.empty());
 	record("i-2", 1);
-	EXPECT_EQ(store.calls.back().if_version, 9u);
+	EXPECT_EQ(store.calls.back().version, 9u);
 }
 
 TEST_F(DepartureLog, AnOpenCallIsCancelledAtTheEnd)
--- a/tests/gateway/sync_test.cc
+++ b/tests/gateway/sync_test.cc
@@ -9,59 +9,12 @@
 
 #include "base/error.h"
 #include "gateway/sync.h"
+#include "support/held_store.h"
 #include "support/loop.h"
 
 namespace
 {
 
-// A store whose calls the test answers.
-struct Store {
-	struct snipe_object_store store; // first member: the vtable
-	struct Call {
-		std::string what, value;
-		uint64_t version;
-		snipe_object_cb cb;
-		snipe_object_list_cb list_cb;
-		void *arg;
-	};
-	std::vector<Call> tables, nodes;
-
-	static Store *self(struct snipe_object_store *s)
-	{
-		return reinterpret_cast<Store *>(s);
-	}
-	static int get(struct snipe_object_store *s, const char *, const char *, int,
-		       snipe_object_cb cb, void *arg)
-	{
-		self(s)->tables.push_back({"get", "", 0, cb, nullptr, arg});
-		return 1;
-	}
-	static int watch(struct snipe_object_store *s, const char *, const char *,
-			 uint64_t after, int, int, snipe_object_cb cb, void *arg)
-	{
-		self(s)->tables.push_back({"watch", "", after, cb, nullptr, arg});
-		return 1;
-	}
-	static int put(struct snipe_object_store *s, const char *, const char *,
-		       uint64_t if_version, const char *value, size_t len, int,
-		       snipe_object_cb cb, void *arg)
-	{
-		self(s)->nodes.push_back(
-			{"put", std::string(value, len), if_version, cb, nullptr, arg});
-		return 2;
-	}
-	static int list(struct snipe_object_store *s, const char *, int allow_stale, int,
-			snipe_object_list_cb cb, void *arg)
-	{
-		self(s)->nodes.push_back(
-			{allow_stale ? "stale list" : "list", "", 0, nullptr, cb, arg});
-		return 2;
-	}
-	static void cancel(struct snipe_object_store *, int)
-	{
-	}
-};
-
 // Tables are the text "vN"; anything else is malformed.
 int decode_tables(const struct snipe_dialect *, const char *document, size_t len,
 		  struct snipe_routing **routing, struct snipe_error_text *err)
@@ -76,8 +29,7 @@
 
 struct Sync : testing::Test {
 	Loop loop;
-	Store store;
-	struct snipe_object_store_ops ops = {};
+	HeldStore store;
 	struct snipe_dialect_ops dialect_ops = {decode_tables, nullptr};
 	struct snipe_dialect dialect = {};
 	struct snipe_gateway_settings settings = {};
@@ -108,12 +60,6 @@
 		dialect.tables_kind = "config";
 		dialect.tables_name = "main";
 		dialect.nodes_kind = "nodes";
-		ops.get = Store::get;
-		ops.watch = Store::watch;
-		ops.put = Store::put;
-		ops.list = Store::list;
-		ops.cancel = Store::cancel;
-		store.store.ops = &ops;
 		snipe_counters_init(&counters);
 		peer.base = loop.base;
 		strcpy(peer.listen.ip, "127.0.0.1");
@@ -153,36 +99,40 @@
 		snipe_directory_finish(&directory);
 		snipe_peer_task_finish(&peers);
 	}
+	HeldStore::Call last(const char *kind)
+	{
+		return store.of(kind).back();
+	}
 	// Answers the last call for the tables.
 	void answer(int err, uint64_t version = 0, const std::string &value = "")
 	{
-		struct snipe_object o = {version, value.data(), value.size()};
-		Store::Call call = store.tables.back();
-
-		call.cb(call.arg, err, &o);
+		last("config").answer(err, version, value);
 	}
 	// Answers the last call for the nodes.
 	void answer_node(int err, const std::string &own_address = "")
 	{
 		struct snipe_object o = {9, own_address.data(), own_address.size()};
 		struct snipe_object_entry entry = {"n-1", o};
-		Store::Call call = store.nodes.back();
+		HeldStore::Call call = last("nodes");
 
 		if (call.list_cb)
 			call.list_cb(call.arg, err, &entry, own_address.empty() ? 0 : 1);
 		else
-			call.cb(call.arg, err, &o);
+			call.answer(err, 9, own_address);
+	}
+	void expect_call(const char *kind, size_t count, const std::string &what)
+	{
+		ASSERT_TRUE(loop.until([&] { return store.of(kind).size() == count; })) << what;
+		EXPECT_EQ(last(kind).what, what);
 	}
 	void expect_read(size_t count, const std::string &what, uint64_t after = 0)
 	{
-		ASSERT_TRUE(loop.until([&] { return store.tables.size() == count; })) << what;
-		EXPECT_EQ(store.tables.back().what, what);
-		EXPECT_EQ(store.tables.back().version, after);
+		expect_call("config", count, what);
+		EXPECT_EQ(last("config").version, after);
 	}
 	void expect_node_call(size_t count, const std::string &what)
 	{
-		ASSERT_TRUE(loop.until([&] { return store.nodes.size() == count; })) << what;
-		EXPECT_EQ(store.nodes.back().what, what);
+		expect_call("nodes", count, what);
 	}
 };
 
@@ -259,8 +209,8 @@
 
 	snipe_address_format(&settings.peer_listen, own);
 	expect_node_call(1, "put");
-	EXPECT_EQ(store.nodes.back().value, own);
-	EXPECT_EQ(store.nodes.back().version, 0u);
+	EXPECT_EQ(last("nodes").value, own);
+	EXPECT_EQ(last("nodes").version, 0u);
 	answer_node(SNIPE_ERR_UNAVAILABLE);
 	expect_node_call(2, "put");
 	answer_node(0);
@@ -277,5 +227,5 @@
 	expect_node_call(2, "list");
 	answer_node(0, "10.9.9.9:1");
 	expect_node_call(3, "put");
-	EXPECT_EQ(store.nodes.back().version, 9u);
+	EXPECT_EQ(last("nodes").version, 9u);
 }
