Try store calls again that could not be started

Cause: a call that the store interface refuses at once has no callback. The departure log handles that; the reading of the tables, the registration and the list of nodes did not, and would have waited for good without a log line. Change: all of them log the failure and try again after the usual pause. The new test hangs without that.

--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -62,6 +62,17 @@
 	snipe_counters_set(s->config.counters, s->gauge_reachable, 0);
 }
 
+/* Returns the handle of a call that was started, or 0 if it could not be: then it is tried
+ * again when the timer runs out. */
+static int started(struct snipe_sync *s, const char *call, int handle, struct event *retry)
+{
+	if (handle > 0)
+		return handle;
+	store_failed(s, call, handle);
+	set_timer(retry, snipe_backoff_us(s->rng, s->failures));
+	return 0;
+}
+
 /* Loads a document. Returns 0, or an error if it cannot be used. */
 static int load(struct snipe_sync *s, const char *document, size_t len, const char *source)
 {
@@ -146,6 +157,7 @@
 {
 	const struct snipe_dialect *d = s->config.dialect;
 	struct snipe_object_store *store = s->config.store;
+	int handle;
 
 	if (!has_to_read(s)) {
 		set_timer(&s->retry, ROLE_CHECK_US);
@@ -154,12 +166,12 @@
 	s->sent_us = snipe_now_us();
 	snipe_counters_add(s->config.counters, s->count_reads, 1);
 	if (s->version)
-		s->handle =
-			store->ops->watch(store, d->tables_kind, d->tables_name, s->version,
-					  WATCH_WAIT_MS, SNIPE_STORE_TIMEOUT_MS, on_tables, s);
+		handle = store->ops->watch(store, d->tables_kind, d->tables_name, s->version,
+					   WATCH_WAIT_MS, SNIPE_STORE_TIMEOUT_MS, on_tables, s);
 	else
-		s->handle = store->ops->get(store, d->tables_kind, d->tables_name,
-					    SNIPE_STORE_TIMEOUT_MS, on_tables, s);
+		handle = store->ops->get(store, d->tables_kind, d->tables_name,
+					 SNIPE_STORE_TIMEOUT_MS, on_tables, s);
+	s->handle = started(s, s->version ? "watch" : "get", handle, &s->retry);
 }
 
 static void on_retry(evutil_socket_t fd, short what, void *arg)
@@ -242,21 +254,25 @@
 {
 	struct snipe_object_store *store = s->config.store;
 	char own[SNIPE_ADDRESS_TEXT];
+	int handle;
 
 	snipe_address_format(&s->config.settings->peer_listen, own);
 	snipe_counters_add(s->config.counters, s->count_writes, 1);
-	s->node_handle = store->ops->put(store, s->config.dialect->nodes_kind,
-					 s->config.settings->node_id, s->own_version, own,
-					 strlen(own), SNIPE_STORE_TIMEOUT_MS, on_registered, s);
+	handle = store->ops->put(store, s->config.dialect->nodes_kind,
+				 s->config.settings->node_id, s->own_version, own, strlen(own),
+				 SNIPE_STORE_TIMEOUT_MS, on_registered, s);
+	s->node_handle = started(s, "put", handle, &s->node_timer);
 }
 
 static void list_nodes(struct snipe_sync *s)
 {
 	struct snipe_object_store *store = s->config.store;
+	int handle;
 
 	snipe_counters_add(s->config.counters, s->count_reads, 1);
-	s->node_handle = store->ops->list(store, s->config.dialect->nodes_kind, s->has_listed,
-					  SNIPE_STORE_TIMEOUT_MS, on_list, s);
+	handle = store->ops->list(store, s->config.dialect->nodes_kind, s->has_listed,
+				  SNIPE_STORE_TIMEOUT_MS, on_list, s);
+	s->node_handle = started(s, "list", handle, &s->node_timer);
 }
 
 static void on_node_timer(evutil_socket_t fd, short what, void *arg)
--- a/tests/gateway/sync_test.cc
+++ b/tests/gateway/sync_test.cc
@@ -229,3 +229,18 @@
 	expect_node_call(3, "put");
 	EXPECT_EQ(last("nodes").version, 9u);
 }
+
+// Such a call ends without a callback, and the node must not wait for one.
+TEST_F(Sync, ACallThatIsNotStartedIsTriedAgain)
+{
+	answer(0, 7, "v3");
+	answer_node(SNIPE_ERR_CONFLICT);
+	store.refusal = SNIPE_ERR_INVALID;
+	answer(SNIPE_ERR_STALE, 7);
+	EXPECT_EQ(sync.is_reachable, 0);
+	loop.run_ms(300);
+	EXPECT_EQ(store.of("nodes").size(), 1u);
+	store.refusal = 0;
+	expect_read(3, "watch", 7);
+	expect_node_call(2, "list");
+}
--- a/tests/support/held_store.h
+++ b/tests/support/held_store.h
@@ -27,6 +27,7 @@
 	};
 	std::vector<Call> calls;
 	int cancelled = 0;
+	int refusal = 0; // error with which calls are not started
 
 	// The calls for one kind of objects, in order.
 	std::vector<Call> of(const std::string &kind) const
@@ -44,6 +45,8 @@
 	{
 		auto *self = reinterpret_cast<HeldStore *>(s);
 
+		if (self->refusal)
+			return self->refusal;
 		self->calls.push_back(std::move(call));
 		return (int)self->calls.size();
 	}
