Report once a second in fleets of 100 to 300 nodes, and on time

Reports were 3 s apart there, so that a small burst looked spent most of the time. Besides, a report that was due after 300 ms went out after 350 ms about every second time, since it was looked for every 50 ms: one lost datagram then left a gap of up to 700 ms, and 660 ms are silence.

Change: core/report_schedule decides when a node reports. Up to 100 nodes the interval is as before, from there it is 1 s up to 300 nodes and grows by 3.3 ms a node above; a report goes out to half a tick.

A workspace at 4.5 times its rate stays within the users' slack.

--- a/libs/gateway/directory.c
+++ b/libs/gateway/directory.c
@@ -10,18 +10,16 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "core/report_schedule.h"
 #include "wire/confirm.h"
 
-/* Interval of the reports in a small fleet, and the time for each node that it grows by, so
- * that a node sends at most about 100 datagrams a second. */
-#define REPORT_US 300000
-#define REPORT_US_PER_NODE 10000
 /* A change is sent at once, but several within this time go into one report. */
 #define COALESCE_US 10000
 /* Silent nodes are still sent to, so that a restarted one learns of this node without the
  * store; at most this often. */
 #define SILENT_REPORT_US 2000000
-/* Interval of the checks for silence and for a report that is due; a sixth of REPORT_US. */
+/* Interval of the checks for silence and for a report that is due; a sixth of the
+ * shortest interval of the reports. */
 #define TICK_US 50000
 /* Interval at which a node that does not read the tables asks one that does. */
 #define QUESTION_US 450000
@@ -101,7 +99,7 @@
 
 int64_t snipe_directory_interval_us(const struct snipe_directory *d)
 {
-	return MAX(REPORT_US, (int64_t)snipe_directory_node_count(d) * REPORT_US_PER_NODE);
+	return snipe_report_interval_us(snipe_directory_node_count(d));
 }
 
 static void leave_pool(struct snipe_directory_node *n)
@@ -429,7 +427,7 @@
 	choose_readers(d);
 	if (!snipe_directory_is_reader(d) && now - d->questions[0].sent_us >= QUESTION_US)
 		ask_reader(d, now);
-	if (now - d->published_us >= snipe_directory_interval_us(d))
+	if (snipe_report_is_due(now, d->published_us, snipe_directory_node_count(d), TICK_US))
 		publish_now(d);
 }
 
--- a/tests/core/fleet_quota_test.cc
+++ b/tests/core/fleet_quota_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/fleet_quota.h"
+#include "core/report_schedule.h"
 
 namespace
 {
@@ -138,6 +139,18 @@
 	}
 }
 
+// Load pattern: workspaces of different size send at 62% of their rates in a fleet of 306
+// nodes. The fault: with reports 3 s apart, small bursts looked spent most of the time.
+TEST(FleetQuota, SmallBurstsAreNotRefusedAtTheIntervalOfALargeFleet)
+{
+	for (double rate : {60, 200, 600}) {
+		Fleet f(306, rate, 0.5 * rate, snipe_report_interval_us(306));
+
+		f.run(10000000, 0.62 * rate);
+		EXPECT_LE(f.refused, 0.01 * f.asked) << rate;
+	}
+}
+
 // Guards against the opposite: nodes that all see a full bucket overspend together.
 TEST(FleetQuota, AHotWorkspaceGetsNoMoreInALargeFleet)
 {
@@ -149,6 +162,13 @@
 			f.run(15000000, 900);
 			EXPECT_LE(f.worst_over, f.slack()) << nodes << " " << burst;
 		}
+	for (double burst : {50, 200}) {
+		Fleet f(306, 200, burst, snipe_report_interval_us(306));
+
+		f.run(10000000, 124);
+		f.run(15000000, 900);
+		EXPECT_LE(f.worst_over, f.slack()) << burst;
+	}
 }
 
 // The fault: nodes that get a request every few seconds reported no demand most of the time, so
