Log what a refusal for a workspace's rate rests on

Cause: the line of a request refused with 429 says "over_rate" only.

Conclusion: no change of behaviour; fleet_quota_test holds the view to a spent bucket and to a partition.

--- a/libs/core/fleet_quota.c
+++ b/libs/core/fleet_quota.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/error.h"
+
 /* Weight of a request in the demand fades by half in about this time, or in the interval of the
  * reports if that is longer. */
 #define DEMAND_US 500000
@@ -461,6 +463,23 @@
 	return 0;
 }
 
+int snipe_fleet_quota_view(const struct snipe_fleet_quota *q, int64_t now_us,
+			   uint64_t workspace, struct snipe_quota_view *view)
+{
+	const struct bucket *b = g_hash_table_lookup(q->workspaces, &workspace);
+
+	if (!b || b->rate <= 0)
+		return SNIPE_ERR_NOT_FOUND;
+	view->rate = b->rate;
+	view->burst = b->burst;
+	view->tokens = free_tokens(q, b, now_us);
+	view->share_tokens = b->share_tokens;
+	view->share = b->share;
+	view->reachable = b->reachable;
+	view->report_age_us = MAX(now_us - b->oldest_us, 0);
+	return 0;
+}
+
 void snipe_fleet_quota_give_back(struct snipe_fleet_quota *q, uint64_t workspace)
 {
 	struct bucket *b = g_hash_table_lookup(q->workspaces, &workspace);
--- a/libs/core/fleet_quota.h
+++ b/libs/core/fleet_quota.h
@@ -57,6 +57,20 @@
 /* Takes one token. Returns 1, or 0 with the time after which to come back. */
 int snipe_fleet_quota_take(struct snipe_fleet_quota *q, int64_t now_us, uint64_t workspace,
 			   int64_t *retry_after_us);
+/* What a decision about a workspace rests on. */
+struct snipe_quota_view {
+	double rate, burst;
+	double tokens;	       /* of the whole fleet, less what others probably spent unseen */
+	double share_tokens;   /* of this node, spent when those of the fleet run low */
+	double share;	       /* part of the rate that this node may spend then */
+	double reachable;      /* part of the rate that belongs to nodes in contact */
+	int64_t report_age_us; /* of the oldest report of a node in contact */
+};
+
+/* Returns 0, or SNIPE_ERR_NOT_FOUND if the workspace has no limit. */
+int snipe_fleet_quota_view(const struct snipe_fleet_quota *q, int64_t now_us,
+			   uint64_t workspace, struct snipe_quota_view *view);
+
 /* Gives a token back: the request was refused for another reason. */
 void snipe_fleet_quota_give_back(struct snipe_fleet_quota *q, uint64_t workspace);
 
--- a/libs/gateway/entry_check.c
+++ b/libs/gateway/entry_check.c
@@ -6,6 +6,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "base/log.h"
 
 /* A request with a key is refused when the tables were confirmed longer ago than this part of
  * the time within which a withdrawn key must stop working; the rest is for requests on their
@@ -109,6 +110,26 @@
 	return accepted;
 }
 
+/* The line of the refused request says that the rate was exceeded; this one says by what. */
+static void log_over_rate(const struct snipe_entry_call *call, uint64_t workspace)
+{
+	static struct snipe_log_limit limit;
+	int64_t now = call->received_us;
+	struct snipe_quota_view v;
+	unsigned suppressed;
+
+	if (!snipe_log_allow(&limit, now, SNIPE_LOG_LINES_PER_S, &suppressed) ||
+	    snipe_fleet_quota_view(&call->entry->quota, now, workspace, &v) < 0)
+		return;
+	snipe_log(SNIPE_LOG_INFO, "rate_exceeded",
+		  "request=%s workspace=%s rate=%.1f burst=%.1f tokens=%.1f share_tokens=%.2f "
+		  "share=%.4f reachable=%.3f report_age_ms=%lld tables=%llx suppressed=%u",
+		  call->request_id, call->routing->workspaces[call->workspace].name, v.rate,
+		  v.burst, v.tokens, v.share_tokens, v.share, v.reachable,
+		  (long long)(v.report_age_us / 1000),
+		  (unsigned long long)call->routing->version, suppressed);
+}
+
 static struct snipe_entry_rejection check_rate(struct snipe_entry_call *call)
 {
 	struct snipe_entry *e = call->entry;
@@ -118,8 +139,10 @@
 	if (call->workspace < 0 || call->route->open)
 		return accepted;
 	hash = snipe_hash64_str(call->routing->workspaces[call->workspace].name);
-	if (!snipe_fleet_quota_take(&e->quota, call->received_us, hash, &retry_after))
+	if (!snipe_fleet_quota_take(&e->quota, call->received_us, hash, &retry_after)) {
+		log_over_rate(call, hash);
 		return (struct snipe_entry_rejection){429, "over_rate", retry_after};
+	}
 	call->workspace_hash = hash;
 	return accepted;
 }
--- a/tests/core/fleet_quota_test.cc
+++ b/tests/core/fleet_quota_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <vector>
 
+#include "base/error.h"
 #include "core/fleet_quota.h"
 #include "core/report_schedule.h"
 
@@ -338,6 +339,32 @@
 	snipe_fleet_quota_finish(&q);
 }
 
+// Guards against a refusal whose reason nobody can find: a spent bucket, or nodes out of
+// contact.
+TEST(FleetQuota, TheViewTellsWhyARequestIsRefused)
+{
+	struct snipe_quota_view v;
+	Fleet f(16, 200, 200);
+
+	f.run(5000000, 120);
+	f.ask(0);
+	ASSERT_EQ(snipe_fleet_quota_view(&f.nodes[0]->q, f.now, WORKSPACE, &v), 0);
+	EXPECT_GT(v.tokens, 0.15 * v.burst);
+	EXPECT_DOUBLE_EQ(v.reachable, 1);
+	// The reports are looked through four times in an interval.
+	EXPECT_LE(v.report_age_us, REPORT_US * 5 / 4);
+	f.run(3000000, 900);
+	ASSERT_GT(f.refused, 0);
+	ASSERT_EQ(snipe_fleet_quota_view(&f.nodes[0]->q, f.now, WORKSPACE, &v), 0);
+	EXPECT_LT(v.tokens, 0.15 * v.burst);
+	f.cut(4);
+	f.run(3000000, 900);
+	ASSERT_EQ(snipe_fleet_quota_view(&f.nodes[0]->q, f.now, WORKSPACE, &v), 0);
+	EXPECT_LT(v.reachable, 0.5);
+	EXPECT_EQ(snipe_fleet_quota_view(&f.nodes[0]->q, f.now, WORKSPACE + 1, &v),
+		  SNIPE_ERR_NOT_FOUND);
+}
+
 TEST(FleetQuota, AWorkspaceWithoutALimitIsNeverRefused)
 {
 	struct snipe_fleet_quota q;
