--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -224,6 +224,16 @@
 	EXPECT_LE(served, 1.1 * (2 * 10 + 10) + 20);
 	EXPECT_GE(served, 10);
 	EXPECT_GT(refused, 100);
+	// Guards against a refusal whose inputs the logs do not have.
+	EXPECT_TRUE(loop.until([&] {
+		std::string log = nodes[0]->process->Output();
+		size_t line = log.find("event=rate_exceeded request="),
+		       newline = log.find('\n', line);
+
+		return line != std::string::npos && newline != std::string::npos &&
+		       log.substr(line, newline - line).find(" report_age_ms=") !=
+			       std::string::npos;
+	}));
 }
 
 TEST_F(Platform, NewTablesAreInForceEverywhereWithinTwoSeconds)
