Spend shares first from reports one second apart on

Cause: a node spends its saved share before the bucket only when reports are more than 1 s apart, and with 100 to 300 nodes they are exactly 1 s apart since the last change of the interval.

Change: the rule holds from 1 s on. Fleets below 100 nodes are not affected.

--- a/libs/core/fleet_quota.c
+++ b/libs/core/fleet_quota.c
@@ -18,7 +18,7 @@
 /* Part of the burst that a restarted process starts with: others of its kind may have spent
  * the rest just before. */
 #define RESTART_PART 0.25
-/* With longer intervals between reports, a node that spends from the bucket spends its share
+/* From this interval between reports on, a node that spends from the bucket spends its share
  * first: what hundreds of nodes have saved up would come on top before they know that the
  * bucket is empty. */
 #define SLOW_REPORTS_US 1000000
@@ -448,7 +448,7 @@
 	refill(q, b, now_us);
 	left = free_tokens(q, b, now_us);
 	if (left >= MAX(FREE_PART * b->burst * b->reachable, 1)) {
-		if (q->interval_us > SLOW_REPORTS_US)
+		if (q->interval_us >= SLOW_REPORTS_US)
 			b->share_tokens = MAX(b->share_tokens - 1, 0);
 		spend(b);
 		return 1;
