--- a/libs/core/fleet_quota.c
+++ b/libs/core/fleet_quota.c
@@ -18,9 +18,9 @@
 /* Part of the burst that a restarted process starts with: others of its kind may have spent
  * the rest just before. */
 #define RESTART_PART 0.25
-/* From this interval between reports on, a node that spends from the bucket spends its share
- * first: what hundreds of nodes have saved up would come on top before they know that the
- * bucket is empty. */
+/* From this interval between reports on, that of 100 nodes, a node that spends from the bucket
+ * spends its share first: what hundreds of nodes have saved up would come on top before they
+ * know that the bucket is empty. */
 #define SLOW_REPORTS_US 1000000
 /* Own admissions from which those of the fleet are extrapolated are first reduced by this many
  * standard deviations, so that a short burst at one node is not taken for a rise everywhere. */
--- a/libs/core/fleet_quota.h
+++ b/libs/core/fleet_quota.h
@@ -57,6 +57,7 @@
 /* Takes one token. Returns 1, or 0 with the time after which to come back. */
 int snipe_fleet_quota_take(struct snipe_fleet_quota *q, int64_t now_us, uint64_t workspace,
 			   int64_t *retry_after_us);
+
 /* What a decision about a workspace rests on. */
 struct snipe_quota_view {
 	double rate, burst;
--- a/tests/core/fleet_quota_test.cc
+++ b/tests/core/fleet_quota_test.cc
@@ -166,7 +166,7 @@
 }
 
 // The fault: at the interval of 100 to 300 nodes, shares that nodes had saved up came on top of
-// the bucket, 55% above what the users allow over rate and burst.
+// the bucket: up to 193 requests above rate and burst, where the users allow 140.
 TEST(FleetQuota, AHotWorkspaceGetsNoMoreAtTheIntervalOfALargeFleet)
 {
 	for (unsigned seed : {1, 2, 3, 4}) {
