Test the entry of the gateway by itself

Cause: the node where a request begins had no test program of its own; only process tests and the soak reached it, and none of them shows a single rule.

Change: gateway_entry_test plays the callers and the nodes beside two backend servers.

--- /dev/null
+++ b/tests/gateway/entry_test.cc
@@ -0,0 +1,602 @@
+// Guards against requests that run twice or for the wrong workspace, "not run" for requests
+// that may have run, keys and forged fields that reach a backend server, callers that wait
+// although their request was given up, and rate that is lost to requests which never ran.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/entry.h"
+#include "gateway/gate.h"
+#include "support/loop.h"
+
+namespace
+{
+
+const struct snipe_dialect DIALECT = {
+	nullptr,
+	{"Id", "Left", "Workspace", "Expect-Server", "Not-Run", "Caller", "Signature", "Token"},
+	"/ready",
+	"tables",
+	"main",
+	"nodes",
+	"departures",
+	"{}",
+};
+
+// A call that came to a node beside a backend server, and that the test answers.
+struct Call {
+	struct snipe_peer_origin from;
+	struct snipe_peer_task *node;
+	std::string pool, path, body;
+	std::multimap<std::string, std::string> fields;
+	int attempt, rank;
+	int64_t timeout_us;
+};
+
+// The node of the callers under test, and two nodes beside backend servers, which the test
+// plays.
+struct Entry : testing::Test {
+	Loop loop;
+	struct snipe_peer_task own;
+	struct snipe_peer_task servers[2];
+	int report_fds[2];
+	uint64_t sequence = 0;
+	struct snipe_gateway_settings settings = {};
+	struct snipe_directory directory;
+	struct snipe_counters counters;
+	struct snipe_crash_guard guard;
+	struct snipe_entry entry;
+	struct snipe_routing *routing = nullptr;
+	std::vector<Call> calls;
+	int cancelled = 0;
+
+	static void on_call(void *arg, const struct snipe_peer_origin *from,
+			    const struct snipe_message *m, const char *body, size_t len)
+	{
+		auto *call = static_cast<std::pair<Entry *, int> *>(arg);
+		const struct snipe_msg_call *c = &m->u.call;
+		Call got{*from,
+			 &call->first->servers[call->second],
+			 c->pool,
+			 std::string(c->path.data, c->path.len),
+			 std::string(body ? body : "", len),
+			 {},
+			 c->attempt,
+			 c->rank,
+			 c->timeout_us};
+
+		for (int i = 0; i < c->header_count; i++)
+			got.fields.emplace(
+				std::string(c->headers[i].name.data, c->headers[i].name.len),
+				std::string(c->headers[i].value.data, c->headers[i].value.len));
+		call->first->calls.push_back(got);
+	}
+	static void on_cancel(void *arg, const struct snipe_peer_origin *,
+			      const struct snipe_message *, const char *, size_t)
+	{
+		static_cast<std::pair<Entry *, int> *>(arg)->first->cancelled++;
+	}
+	std::pair<Entry *, int> handles[2] = {{this, 0}, {this, 1}};
+
+	void SetUp() override
+	{
+		static const struct snipe_directory_ops ops = {
+			[](void *, const struct snipe_address *, uint64_t) {},
+			[](void *, int64_t, struct snipe_node_report *) {},
+			[](void *, int64_t, uint64_t *, int64_t *) {},
+			[](void *, const struct snipe_address *, uint64_t, int64_t) {},
+			[](void *, int64_t, const struct snipe_node_report *) {},
+		};
+		struct snipe_entry_config config = {};
+		struct snipe_error_text err;
+
+		snipe_counters_init(&counters);
+		snipe_crash_guard_init(&guard);
+		init_peer(&own, "own");
+		strcpy(settings.node_id, "own");
+		strcpy(settings.service, "home");
+		settings.peer_listen = *snipe_peer_address(&own);
+		settings.caller_listen = free_address();
+		settings.key_revocation_us = 5000000;
+		settings.retry_ratio = 0.2;
+		settings.retry_slack = 50;
+		settings.is_first_start = 1;
+		ASSERT_EQ(snipe_directory_init(&directory, loop.base, &settings, 1, &ops, this,
+					       &err),
+			  0)
+			<< err.text;
+		for (int i = 0; i < 2; i++) {
+			init_peer(&servers[i], i ? "s2" : "s1");
+			snipe_peer_on(&servers[i], SNIPE_MSG_CALL, on_call, &handles[i]);
+			snipe_peer_on(&servers[i], SNIPE_MSG_CANCEL, on_cancel, &handles[i]);
+			report_fds[i] = bind_udp(*snipe_peer_address(&servers[i]));
+		}
+		config.base = loop.base;
+		config.settings = &settings;
+		config.dialect = &DIALECT;
+		config.peers = &own;
+		config.directory = &directory;
+		config.guard = &guard;
+		config.counters = &counters;
+		ASSERT_EQ(snipe_entry_init(&entry, &config, &err), 0) << err.text;
+	}
+	void TearDown() override
+	{
+		snipe_entry_finish(&entry);
+		for (int i = 0; i < 2; i++) {
+			snipe_peer_task_finish(&servers[i]);
+			close(report_fds[i]);
+		}
+		snipe_peer_task_finish(&own);
+		snipe_directory_finish(&directory);
+		snipe_routing_unref(routing);
+	}
+	void init_peer(struct snipe_peer_task *t, const char *id)
+	{
+		struct snipe_peer_config config = {};
+		struct snipe_error_text err;
+
+		config.base = loop.base;
+		strcpy(config.listen.ip, "127.0.0.1");
+		config.node_id = id;
+		config.process = 1;
+		config.secret = "";
+		ASSERT_EQ(snipe_peer_task_init(t, &config, &err), 0) << err.text;
+	}
+	static int bind_udp(const struct snipe_address &a)
+	{
+		int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+		struct sockaddr_storage ss;
+		int len = snipe_address_to_sockaddr(&a, &ss);
+
+		if (bind(fd, (struct sockaddr *)&ss, (socklen_t)len) < 0)
+			give_up("bind a socket for reports");
+		return fd;
+	}
+	struct snipe_gateway_route *add_route(const char *prefix, int idempotent,
+					      const char *service = "tips")
+	{
+		struct snipe_gateway_route *r = snipe_routing_add_route(routing);
+
+		strcpy(r->name, prefix);
+		r->host = g_strdup("a.example");
+		r->prefix = g_strdup(prefix);
+		r->idempotent = idempotent;
+		r->attempts = 2;
+		r->timeout_us = 2000000;
+		r->target_latency_us = 1000000;
+		r->targets = g_new0(struct snipe_route_target, 2);
+		r->target_count = 1;
+		strcpy(r->targets[0].service, service);
+		r->targets[0].weight = 1;
+		return r;
+	}
+	// Tables with a workspace of one key, a route that may be repeated, one that may not,
+	// and one without a key.
+	void begin_tables()
+	{
+		struct snipe_gateway_workspace *w;
+
+		routing = snipe_routing_new(7);
+		strcpy(snipe_routing_add_service(routing)->name, "tips");
+		strcpy(snipe_routing_add_service(routing)->name, "other");
+		add_route("/read/", 1);
+		add_route("/book/", 0);
+		add_route("/open/", 1)->open = 1;
+		w = snipe_routing_add_workspace(routing);
+		strcpy(w->name, "salon");
+		w->priority = 1;
+		snipe_routing_add_key(routing, "key1", 0);
+		routing->needs_keys = 1;
+	}
+	void apply()
+	{
+		struct snipe_error_text err;
+
+		ASSERT_EQ(snipe_routing_seal(routing, &err), 0) << err.text;
+		snipe_entry_set_routing(&entry, routing);
+		snipe_entry_confirm(&entry, snipe_now_us());
+		report();
+	}
+	void tables()
+	{
+		begin_tables();
+		apply();
+	}
+	// Both nodes report that their servers are ready; a silent node gets no calls.
+	void report()
+	{
+		struct snipe_buffer buf;
+		struct sockaddr_storage ss;
+		int len = snipe_address_to_sockaddr(&settings.peer_listen, &ss);
+
+		sequence++;
+		for (int i = 0; i < 2; i++) {
+			struct snipe_node_report r = {};
+
+			strcpy(r.node_id, i ? "s2" : "s1");
+			strcpy(r.service, "tips");
+			strcpy(r.server_id, i ? "i-2" : "i-1");
+			r.process = 1;
+			r.sequence = sequence;
+			r.server = SNIPE_SERVER_READY;
+			r.limit = 10;
+			snipe_buffer_init(&buf);
+			snipe_report_encode(&r, &buf);
+			sendto(report_fds[i], buf.data, buf.len, 0, (struct sockaddr *)&ss,
+			       (socklen_t)len);
+			snipe_buffer_finish(&buf);
+		}
+		loop.until([&] {
+			struct snipe_service_pool *p = snipe_directory_pool(&directory, "tips");
+			return p && p->placement.size == 2 &&
+			       p->placement.servers[0].is_usable &&
+			       p->placement.servers[1].is_usable;
+		});
+	}
+	Socket ask(const std::string &path, const std::string &fields = "",
+		   const std::string &key = "key1", const std::string &method = "GET")
+	{
+		Socket s = Socket::connect_to(settings.caller_listen);
+
+		if (routing)
+			report();
+		send(s, path, fields, key, method);
+		return s;
+	}
+	static void send(Socket &s, const std::string &path, const std::string &fields = "",
+			 const std::string &key = "key1", const std::string &method = "GET")
+	{
+		std::string text = method + " " + path + " HTTP/1.1\r\nHost: a.example\r\n" +
+				   "Id: r1\r\n" + fields;
+
+		if (!key.empty())
+			text += "Authorization: Token " + key + "\r\n";
+		fcntl(s.fd, F_SETFL, 0);
+		s.send_text(text + "\r\n");
+		fcntl(s.fd, F_SETFL, O_NONBLOCK);
+	}
+	bool came(size_t count)
+	{
+		return loop.until([&] { return calls.size() >= count; });
+	}
+	// The answer's status, 0 if none came.
+	int status(Socket &s)
+	{
+		if (!loop.until([&] { return s.has("\r\n\r\n"); }))
+			return 0;
+		return atoi(s.in.c_str() + strlen("HTTP/1.1 "));
+	}
+	void reply(const Call &c, enum snipe_answer_outcome outcome, int http_status = 200,
+		   const std::string &body = "ok", int has_arrived = 1,
+		   const char *reason = "overloaded")
+	{
+		struct snipe_message m = {};
+		struct snipe_msg_answer *a = &m.u.answer;
+
+		m.type = SNIPE_MSG_ANSWER;
+		a->outcome = outcome;
+		a->has_arrived = has_arrived;
+		a->load.limit = 10;
+		if (outcome == SNIPE_ANSWER_COMPLETE) {
+			a->status = http_status;
+			a->headers[0] = {{"Signature", 9}, {"s", 1}};
+			a->header_count = 1;
+		} else {
+			strcpy(a->reason, reason);
+		}
+		snipe_peer_reply(c.node, &c.from, &m, body.data(), body.size());
+	}
+	double tokens()
+	{
+		struct snipe_quota_view v = {};
+
+		snipe_fleet_quota_view(&entry.quota, snipe_now_us(), snipe_hash64_str("salon"),
+				       &v);
+		return v.tokens;
+	}
+};
+
+std::string field(const Call &c, const std::string &name)
+{
+	auto it = c.fields.find(name);
+
+	return it == c.fields.end() ? "" : it->second;
+}
+
+} // namespace
+
+TEST_F(Entry, PassesOnWhatTheNodeVouchesForAndNotTheKey)
+{
+	tables();
+	Socket s = ask("/read/x?a=b", "Workspace: forged\r\nCaller: forged\r\n"
+				      "Expect-Server: i-9\r\nLeft: 700\r\nX-Own: 1\r\n");
+
+	ASSERT_TRUE(came(1));
+	EXPECT_EQ(calls[0].pool, "tips");
+	EXPECT_EQ(calls[0].path, "/read/x?a=b");
+	EXPECT_EQ(field(calls[0], "Id"), "r1");
+	EXPECT_EQ(field(calls[0], "X-Own"), "1");
+	EXPECT_EQ(calls[0].fields.count("Workspace"), 1u);
+	EXPECT_EQ(field(calls[0], "Workspace"), "salon");
+	EXPECT_EQ(calls[0].fields.count("Caller"), 1u);
+	EXPECT_EQ(field(calls[0], "Caller"), "home");
+	EXPECT_EQ(field(calls[0], "Expect-Server"), "");
+	EXPECT_EQ(field(calls[0], "Authorization"), "");
+	EXPECT_LE(calls[0].timeout_us, 700000) << "no server gets more time than is left";
+	reply(calls[0], SNIPE_ANSWER_COMPLETE);
+	EXPECT_EQ(status(s), 200);
+	EXPECT_TRUE(s.has("Signature: s\r\n"));
+	EXPECT_TRUE(s.has("\r\n\r\nok"));
+}
+
+TEST_F(Entry, RefusesWithoutTablesAndSaysWhenToComeBack)
+{
+	Socket s = ask("/read/x");
+
+	EXPECT_EQ(status(s), 503);
+	EXPECT_TRUE(s.has("Retry-After: "));
+}
+
+TEST_F(Entry, UnknownKeysAndRoutesAreFinalOnlyWithFreshTables)
+{
+	tables();
+	Socket no_key = ask("/read/x", "", ""), wrong = ask("/read/x", "", "key2"),
+	       no_route = ask("/none/x");
+
+	EXPECT_EQ(status(no_key), 401);
+	EXPECT_EQ(status(wrong), 401);
+	EXPECT_EQ(status(no_route), 404);
+	// A newer version may have the key or the route.
+	entry.confirmed_us = snipe_now_us() - 3000000;
+	Socket late_key = ask("/read/x", "", "key2"), late_route = ask("/none/x");
+	EXPECT_EQ(status(late_key), 503);
+	EXPECT_EQ(status(late_route), 503);
+	EXPECT_TRUE(calls.empty());
+}
+
+// A withdrawn key must stop at a node that hears nothing; what needs no key goes on.
+TEST_F(Entry, KeysAreRefusedWhenTheTablesWereNotConfirmedInTime)
+{
+	tables();
+	entry.confirmed_us = snipe_now_us() - settings.key_revocation_us * 85 / 100;
+	Socket keyed = ask("/read/x"), open = ask("/open/x", "", "");
+
+	EXPECT_EQ(status(keyed), 503);
+	ASSERT_TRUE(came(1));
+	EXPECT_EQ(calls[0].path, "/open/x");
+	reply(calls[0], SNIPE_ANSWER_COMPLETE);
+	EXPECT_EQ(status(open), 200);
+}
+
+TEST_F(Entry, BadRequestsAreRefusedBeforeAnyServerSeesThem)
+{
+	std::string many;
+
+	tables();
+	for (int i = 0; i < SNIPE_MAX_HEADERS; i++)
+		many += "X-" + std::to_string(i) + ": 1\r\n";
+	Socket time = ask("/read/x", "Left: soon\r\n"), host = ask("/read/x", "Host: b\r\n"),
+	       fields = ask("/read/x", many);
+
+	EXPECT_EQ(status(time), 400);
+	EXPECT_EQ(status(host), 400);
+	EXPECT_EQ(status(fields), 431);
+	EXPECT_TRUE(calls.empty());
+}
+
+// No server saw the call, so trying another one takes nothing from the retry budget.
+TEST_F(Entry, ACallThatAGateRefusedGoesToAnotherServer)
+{
+	settings.retry_ratio = settings.retry_slack = 0;
+	tables();
+	Socket s = ask("/book/x", "", "key1", "POST");
+
+	ASSERT_TRUE(came(1));
+	reply(calls[0], SNIPE_ANSWER_NOT_RUN, 0, "", 0);
+	ASSERT_TRUE(came(2));
+	EXPECT_NE(calls[0].node, calls[1].node);
+	EXPECT_EQ(calls[1].attempt, 0);
+	reply(calls[1], SNIPE_ANSWER_COMPLETE);
+	EXPECT_EQ(status(s), 200);
+}
+
+TEST_F(Entry, ARequestThatNoServerTookIsRefusedAtOnceAndItsTokenIsGivenBack)
+{
+	begin_tables();
+	routing->workspaces[0].rate = 1;
+	routing->workspaces[0].burst = 10;
+	apply();
+	double before = tokens();
+	Socket s = ask("/book/x", "", "key1", "POST");
+
+	ASSERT_TRUE(came(1));
+	reply(calls[0], SNIPE_ANSWER_NOT_RUN, 0, "", 0);
+	ASSERT_TRUE(came(2));
+	reply(calls[1], SNIPE_ANSWER_NOT_RUN, 0, "", 0);
+	EXPECT_EQ(status(s), 503);
+	EXPECT_TRUE(s.has("Retry-After: "));
+	EXPECT_GE(tokens(), before);
+}
+
+TEST_F(Entry, ANonIdempotentRequestWhoseAnswerIsLostIsNotSentAgain)
+{
+	tables();
+	Socket s = ask("/book/x", "", "key1", "POST");
+
+	ASSERT_TRUE(came(1));
+	reply(calls[0], SNIPE_ANSWER_UNKNOWN, 0, "", 1, "response_lost");
+	EXPECT_EQ(status(s), 502) << "it may have run";
+	loop.run_ms(50);
+	EXPECT_EQ(calls.size(), 1u);
+}
+
+TEST_F(Entry, ANonIdempotentRequestWhoseNodeIsLostIsNotSentAgain)
+{
+	tables();
+	Socket s = ask("/book/x", "", "key1", "POST");
+
+	ASSERT_TRUE(came(1));
+	// The link ends when the node's process does.
+	int lost = calls[0].node == &servers[1];
+	snipe_peer_task_finish(&servers[lost]);
+	init_peer(&servers[lost], "gone");
+	EXPECT_EQ(status(s), 502);
+	EXPECT_EQ(calls.size(), 1u);
+}
+
+TEST_F(Entry, AnIdempotentRequestIsSentAgainWithinTheBudget)
+{
+	tables();
+	Socket s = ask("/read/x");
+
+	ASSERT_TRUE(came(1));
+	reply(calls[0], SNIPE_ANSWER_UNKNOWN, 0, "", 1, "response_lost");
+	ASSERT_TRUE(came(2));
+	EXPECT_NE(calls[0].node, calls[1].node);
+	EXPECT_EQ(calls[1].attempt, 1) << "its inner calls are repetitions";
+	reply(calls[1], SNIPE_ANSWER_UNKNOWN, 0, "", 1, "response_lost");
+	EXPECT_EQ(status(s), 502) << "the route allows two servers";
+	loop.run_ms(50);
+	EXPECT_EQ(calls.size(), 2u);
+}
+
+TEST_F(Entry, WithoutABudgetNothingThatReachedAServerIsSentAgain)
+{
+	settings.retry_ratio = settings.retry_slack = 0;
+	tables();
+	Socket s = ask("/read/x");
+
+	ASSERT_TRUE(came(1));
+	reply(calls[0], SNIPE_ANSWER_UNKNOWN, 0, "", 1, "response_lost");
+	EXPECT_EQ(status(s), 502);
+	EXPECT_EQ(calls.size(), 1u);
+}
+
+// Both kinds of repeat count: after a lost answer, and after a refusal by the server itself.
+TEST_F(Entry, NoMoreServersAreTriedThanTheRouteAllows)
+{
+	begin_tables();
+	routing->routes[0].attempts = 1;
+	apply();
+	for (auto outcome : {SNIPE_ANSWER_UNKNOWN, SNIPE_ANSWER_NOT_RUN}) {
+		Socket s = ask("/read/x");
+		size_t before = calls.size();
+
+		ASSERT_TRUE(came(before + 1));
+		reply(calls.back(), outcome, 0, "", 1, "response_lost");
+		EXPECT_EQ(status(s), outcome == SNIPE_ANSWER_NOT_RUN ? 503 : 502);
+		EXPECT_EQ(calls.size(), before + 1);
+	}
+}
+
+// The route's longest wait ends before the caller's; the answer comes soon after it.
+TEST_F(Entry, ARequestIsAnsweredAtTheTimeoutOfItsRoute)
+{
+	begin_tables();
+	routing->routes[0].timeout_us = 200000;
+	apply();
+	int64_t begin = snipe_now_us();
+	Socket s = ask("/read/x", "Left: 5000\r\n");
+
+	ASSERT_TRUE(came(1));
+	EXPECT_EQ(status(s), 504);
+	EXPECT_GE(snipe_now_us() - begin, 200000);
+	EXPECT_LE(snipe_now_us() - begin, 200000 + 500000);
+}
+
+TEST_F(Entry, AServersOwnFailureIsPassedOnAsItIs)
+{
+	tables();
+	Socket s = ask("/book/x", "", "key1", "POST");
+
+	ASSERT_TRUE(came(1));
+	reply(calls[0], SNIPE_ANSWER_COMPLETE, 500, "broken");
+	EXPECT_EQ(status(s), 500);
+	EXPECT_TRUE(s.has("Signature: s\r\n"));
+	EXPECT_TRUE(s.has("broken"));
+}
+
+TEST_F(Entry, ACallerThatLeavesCancelsItsCall)
+{
+	tables();
+	Socket s = ask("/read/x");
+
+	ASSERT_TRUE(came(1));
+	s.close_now();
+	ASSERT_TRUE(loop.until([&] { return cancelled == 1; }));
+	EXPECT_EQ(snipe_entry_in_flight(&entry), 0);
+}
+
+TEST_F(Entry, PipelinedRequestsAreAnsweredInTheirOrder)
+{
+	tables();
+	Socket s = Socket::connect_to(settings.caller_listen);
+
+	send(s, "/read/1");
+	send(s, "/read/2");
+	ASSERT_TRUE(came(2));
+	int first = calls[0].path == "/read/1" ? 0 : 1;
+	reply(calls[1 - first], SNIPE_ANSWER_COMPLETE, 200, "two");
+	loop.run_ms(30);
+	EXPECT_FALSE(s.has("two"));
+	reply(calls[first], SNIPE_ANSWER_COMPLETE, 200, "one");
+	ASSERT_TRUE(loop.until([&] { return s.has("two"); }));
+	EXPECT_LT(s.in.find("one"), s.in.find("two"));
+}
+
+TEST_F(Entry, ASplitKeepsItsWeights)
+{
+	std::map<std::string, int> pools;
+
+	begin_tables();
+	struct snipe_gateway_route *r = &routing->routes[0];
+	r->target_count = 2;
+	r->targets[0].weight = 7;
+	strcpy(r->targets[1].service, "tips");
+	strcpy(r->targets[0].service, "other");
+	r->targets[1].weight = 3;
+	apply();
+	for (int i = 0; i < 20; i++) {
+		size_t before = calls.size();
+		Socket s = ask("/read/x");
+		// No server of the other service is known: its part is refused, not moved.
+		ASSERT_TRUE(
+			loop.until([&] { return calls.size() > before || s.has("\r\n\r\n"); }));
+		pools[calls.size() > before ? "tips" : "other"]++;
+		if (calls.size() > before)
+			reply(calls.back(), SNIPE_ANSWER_COMPLETE);
+		EXPECT_EQ(status(s), calls.size() > before ? 200 : 503);
+	}
+	EXPECT_EQ(pools["other"], 14);
+	EXPECT_EQ(pools["tips"], 6);
+}
+
+// A workspace's priority goes before the route's, and inner calls come after client requests of
+// the first priorities.
+TEST_F(Entry, CallsCarryTheirRank)
+{
+	begin_tables();
+	routing->routes[0].priority = 2;
+	apply();
+	Socket keyed = ask("/read/x"), inner = ask("/open/x", "", "");
+
+	ASSERT_TRUE(came(2));
+	for (const Call &c : calls)
+		EXPECT_EQ(c.rank, c.path == "/read/x" ? 16 + 2 : 2 * 16 + 2);
+}
+
+TEST_F(Entry, AStoppingNodeRefusesWhatItsEndWouldCutOff)
+{
+	tables();
+	entry.is_stopping = 1;
+	Socket keyed = ask("/read/x"), inner = ask("/open/x", "", "");
+
+	EXPECT_EQ(status(keyed), 503);
+	EXPECT_TRUE(keyed.has("Retry-After: "));
+	ASSERT_TRUE(came(1));
+	EXPECT_EQ(calls[0].path, "/open/x") << "calls of the server beside the node go on";
+}
