Spread the reports of nodes over their interval

Nodes that start together reported at the same moments, and again after each change of the tables; until the reports came, each node counted a refill that the others had already spent.

Change: the schedule of the reports is a state of its own. The next report is due after a random part of the interval when the interval has changed, and an interval later otherwise; reports that a change causes do not move it. NodesThatStartTogetherReportApart fails when each node keeps the moment of its start.

--- a/libs/core/report_schedule.c
+++ b/libs/core/report_schedule.c
@@ -1,7 +1,5 @@
 #include "core/report_schedule.h"
 
-#include <glib.h>
-
 /* Interval in a small fleet: a node that falls silent is noticed in 0.7 s. */
 #define LEAST_US 300000
 /* Time for each node that the interval grows by: a node sends about 100 datagrams a second. */
@@ -19,7 +17,26 @@
 	return MAX(MAX(LEAST_US, interval), (int64_t)nodes * LARGE_PER_NODE_US);
 }
 
-int snipe_report_is_due(int64_t now_us, int64_t last_us, int nodes, int64_t tick_us)
+void snipe_report_schedule_init(struct snipe_report_schedule *s, int64_t now_us)
 {
-	return now_us - last_us >= snipe_report_interval_us(nodes) - tick_us / 2;
+	s->due_us = now_us;
+	s->interval_us = 0;
+}
+
+int snipe_report_schedule_is_due(struct snipe_report_schedule *s, int64_t now_us, int nodes,
+				 int64_t tick_us, GRand *rng)
+{
+	int64_t interval = snipe_report_interval_us(nodes);
+
+	if (now_us < s->due_us - tick_us / 2)
+		return 0;
+	if (interval != s->interval_us)
+		s->due_us = now_us + (int64_t)(g_rand_double(rng) * (double)interval);
+	else
+		s->due_us += interval;
+	s->interval_us = interval;
+	/* The node was paused. */
+	if (s->due_us < now_us)
+		s->due_us = now_us + interval;
+	return 1;
 }
--- a/libs/gateway/directory.c
+++ b/libs/gateway/directory.c
@@ -10,7 +10,6 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
-#include "core/report_schedule.h"
 #include "wire/confirm.h"
 
 /* A change is sent at once, but several within this time go into one report. */
@@ -376,7 +375,6 @@
 	g_hash_table_iter_init(&it, d->nodes);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		report_to(d, value, now);
-	d->published_us = now;
 }
 
 static void on_soon(evutil_socket_t fd, short what, void *arg)
@@ -427,7 +425,8 @@
 	choose_readers(d);
 	if (!snipe_directory_is_reader(d) && now - d->questions[0].sent_us >= QUESTION_US)
 		ask_reader(d, now);
-	if (snipe_report_is_due(now, d->published_us, snipe_directory_node_count(d), TICK_US))
+	if (snipe_report_schedule_is_due(&d->schedule, now, snipe_directory_node_count(d),
+					 TICK_US, d->rng))
 		publish_now(d);
 }
 
@@ -475,6 +474,7 @@
 	d->self = find_node(d, settings->node_id);
 	d->self->address = settings->peer_listen;
 	d->rng = g_rand_new();
+	snipe_report_schedule_init(&d->schedule, snipe_now_us());
 	choose_readers(d);
 	snipe_buffer_init(&d->datagram);
 	event_assign(&d->readable, base, d->fd, EV_READ | EV_PERSIST, on_readable, d);
--- a/libs/gateway/directory.h
+++ b/libs/gateway/directory.h
@@ -13,6 +13,7 @@
 #include "base/error.h"
 #include "core/placement.h"
 #include "core/readers.h"
+#include "core/report_schedule.h"
 #include "gateway/settings.h"
 #include "wire/report.h"
 
@@ -60,7 +61,7 @@
 	GHashTable *nodes; /* node id -> struct snipe_directory_node */
 	GHashTable *pools; /* service -> struct snipe_service_pool */
 	struct snipe_directory_node *self;
-	int64_t published_us;
+	struct snipe_report_schedule schedule;
 	struct snipe_buffer datagram;
 	struct snipe_readers readers; /* of the reachable nodes */
 	GRand *rng;
