Take requests of one caller for one sample of a workspace's load

Cause: a node extrapolates the admissions of the fleet from its own. Five requests that one caller sends at once, or a request after a while without any, when the own share is near zero, looked like a rise everywhere, and the node refused while the bucket was nearly full.

Change: the deviation counts bursts in place of requests, and the share is taken for half of an equal one at least. MoreRequestsThanUsualAtOneNodeAreNoRiseEverywhere: 1.4% refused with 64 nodes before. AHotWorkspaceThatSendsInBurstsGetsNoMore guards against the opposite.

Trial, not kept: three standard deviations in place of two are 202 requests above rate and burst with 300 nodes, where the users allow 130.

--- a/libs/core/fleet_quota.c
+++ b/libs/core/fleet_quota.c
@@ -25,6 +25,12 @@
 /* Own admissions from which those of the fleet are extrapolated are first reduced by this many
  * standard deviations, so that a short burst at one node is not taken for a rise everywhere. */
 #define SAMPLE_DEVIATIONS 2.0
+/* Requests that follow each other this closely are one burst of one caller, who sends them
+ * before the first is answered: they are one sample, not several. */
+#define SAME_BURST_US 2000
+/* Least share from which the fleet's admissions are extrapolated, as a part of an equal one:
+ * the share of a node that had no request for an interval says nothing about the next one. */
+#define SAMPLE_SHARE_LEAST 0.5
 /* Mean age of what is known of the other nodes, in intervals. */
 #define REPORT_AGE 0.5
 /* Demand of others that room is made for, as a part of the rate: a workspace that asks for more
@@ -64,9 +70,14 @@
 	double reachable;    /* part of the demand at nodes in contact, own included */
 	double others_rate;  /* demand at other nodes in contact */
 	int64_t at_us;
-	uint32_t admitted;
-	uint32_t admitted_at[REPORTS_KEPT]; /* at the last own reports, newest first */
-	double demand;			    /* decayed count of requests */
+	struct admissions {
+		uint32_t count;	  /* since the process started; wraps around */
+		uint32_t squares; /* sum of the squared sizes of bursts */
+	} admitted;
+	struct admissions admitted_at[REPORTS_KEPT]; /* at the last own reports, newest first */
+	int64_t admitted_us;			     /* last admission */
+	uint32_t burst_size;			     /* requests of the burst that it ended */
+	double demand;				     /* decayed count of requests */
 	int64_t demand_at_us;
 	double reported[DEMANDS_KEPT]; /* own demand as reported, newest first */
 	double settled;		       /* own demand when no node was silent */
@@ -112,9 +123,14 @@
 	g_hash_table_destroy(q->peers);
 }
 
+static double equal_share(const struct snipe_fleet_quota *q)
+{
+	return 1.0 / (g_hash_table_size(q->peers) + 1);
+}
+
 static double least_demand(const struct snipe_fleet_quota *q, const struct bucket *b)
 {
-	return LEAST_DEMAND * b->rate / (g_hash_table_size(q->peers) + 1);
+	return LEAST_DEMAND * b->rate * equal_share(q);
 }
 
 static struct peer_use *use_of(const struct peer *p, uint64_t workspace)
@@ -189,13 +205,16 @@
 }
 
 /* Own admissions since the oldest report that the estimate rests on. */
-static int recent_admissions(const struct snipe_fleet_quota *q, const struct bucket *b,
-			     int64_t now_us)
+static struct admissions recent_admissions(const struct snipe_fleet_quota *q,
+					   const struct bucket *b, int64_t now_us)
 {
 	int64_t age = MAX(now_us - b->oldest_us, 0);
 	int reports = (int)MIN(age / q->interval_us, REPORTS_KEPT - 1);
+	int32_t count = (int32_t)(b->admitted.count - b->admitted_at[reports].count);
+	int32_t squares = (int32_t)(b->admitted.squares - b->admitted_at[reports].squares);
 
-	return (int32_t)(b->admitted - b->admitted_at[reports]);
+	/* Tokens that were given back may outnumber those taken. */
+	return (struct admissions){(uint32_t)MAX(count, 0), (uint32_t)MAX(squares, 0)};
 }
 
 /* Tokens that a rate, in tokens a second, spends in the mean age of the last reports. */
@@ -209,12 +228,13 @@
 static double unseen(const struct snipe_fleet_quota *q, const struct bucket *b, int64_t now_us)
 {
 	double seen = unseen_at(q, MIN(b->others_rate, b->rate));
-	int recent = recent_admissions(q, b, now_us);
+	struct admissions recent = recent_admissions(q, b, now_us);
+	double share = MAX(b->share, SAMPLE_SHARE_LEAST * equal_share(q) * b->reachable);
 	double scaled = 0;
 
-	if (recent > 0 && b->share > 0)
-		scaled = (recent - SAMPLE_DEVIATIONS * sqrt(recent)) *
-			 (b->reachable / b->share - 1);
+	if (share > 0)
+		scaled = ((double)recent.count - SAMPLE_DEVIATIONS * sqrt(recent.squares)) *
+			 (b->reachable / share - 1);
 	return MAX(seen, scaled);
 }
 
@@ -413,10 +433,14 @@
 	return b->demand / (1 + age + age * age / 2) / (fade_us(q) / 1e6);
 }
 
-static void spend(struct bucket *b)
+static void spend(struct bucket *b, int64_t now_us)
 {
+	b->burst_size = now_us - b->admitted_us <= SAME_BURST_US ? b->burst_size + 1 : 1;
+	b->admitted_us = now_us;
 	b->tokens -= 1;
-	b->admitted++;
+	b->admitted.count++;
+	/* The square of the size grows by the difference of two squares. */
+	b->admitted.squares += 2 * b->burst_size - 1;
 }
 
 /* Tokens that are probably left. Nodes whose reports are late may be cut off, and spend what
@@ -450,12 +474,12 @@
 	if (left >= MAX(FREE_PART * b->burst * b->reachable, 1)) {
 		if (q->interval_us >= SLOW_REPORTS_US)
 			b->share_tokens = MAX(b->share_tokens - 1, 0);
-		spend(b);
+		spend(b, now_us);
 		return 1;
 	}
 	if (b->tokens > 0 && b->share_tokens >= 1) {
 		b->share_tokens -= 1;
-		spend(b);
+		spend(b, now_us);
 		return 1;
 	}
 	rate = b->rate * b->share;
@@ -487,7 +511,8 @@
 	if (!b || b->rate <= 0)
 		return;
 	b->tokens += 1;
-	b->admitted--;
+	b->admitted.count--;
+	b->admitted.squares--;
 }
 
 /* Gives the shares of removed nodes to the others. */
@@ -533,9 +558,9 @@
 			sizeof(b->admitted_at) - sizeof(b->admitted_at[0]));
 		b->admitted_at[0] = b->admitted;
 		update_shares(q, now_us, b);
-		if (n < max && (b->admitted || b->reported[0] > 0.01)) {
+		if (n < max && (b->admitted.count || b->reported[0] > 0.01)) {
 			reports[n].workspace = b->id;
-			reports[n].admitted = b->admitted;
+			reports[n].admitted = b->admitted.count;
 			reports[n].demand = (float)b->reported[0];
 			n++;
 		}
