Report every workspace in turn

Cause: a report holds 80 workspaces at most, and half as many when strikes of a dead server leave no room. The same ones were left out each time, and the nodes that did not hear of them spent their rates as if they were alone.

Change: each report begins with another workspace and leaves out those that were not used for some seconds; what it leaves out keeps its last shares. EveryWorkspaceInUseIsReportedInTurn fails without the turn, AWorkspaceThatAReportLeavesOutKeepsItsShares without the second rule.

--- a/libs/core/fleet_quota.c
+++ b/libs/core/fleet_quota.c
@@ -58,6 +58,9 @@
 #define FORGET_US 60000000
 /* Intervals within which all nodes must have reported for the split to settle. */
 #define SETTLE_INTERVALS 1.5
+/* Own demand, in requests a second, from which a workspace is reported: after its last request
+ * it is for some seconds, so that lost reports do not hide it. */
+#define LEAST_REPORTED 0.01
 /* Shares are computed anew this often while requests come, so that silence is noticed. */
 #define UPDATES_PER_INTERVAL 4
 
@@ -378,16 +381,14 @@
 	return p;
 }
 
-/* Keeps the shares of workspaces that the report leaves out at zero demand; the counts of a new
- * process start at zero. */
-static void begin_report(struct peer *p, uint64_t process)
+/* The counts of a new process start at zero. What a report leaves out is as it was. */
+static void begin_process(struct peer *p, uint64_t process)
 {
 	for (guint i = 0; i < p->uses->len; i++) {
 		struct peer_use *u = &g_array_index(p->uses, struct peer_use, i);
 
 		u->demand = 0;
-		if (p->process != process)
-			u->admitted = 0;
+		u->admitted = 0;
 	}
 	p->process = process;
 }
@@ -402,7 +403,8 @@
 	GHashTableIter it;
 	gpointer value;
 
-	begin_report(p, process);
+	if (p->process != process)
+		begin_process(p, process);
 	p->heard_us = now_us;
 	g_hash_table_iter_init(&it, q->workspaces);
 	while (g_hash_table_iter_next(&it, NULL, &value))
@@ -536,34 +538,57 @@
 	}
 }
 
+static void begin_own_report(struct snipe_fleet_quota *q, struct bucket *b, int64_t now_us)
+{
+	refill(q, b, now_us);
+	memmove(&b->reported[1], b->reported, sizeof(b->reported) - sizeof(b->reported[0]));
+	b->reported[0] = demand_rate(q, b, now_us);
+	memmove(&b->admitted_at[1], b->admitted_at,
+		sizeof(b->admitted_at) - sizeof(b->admitted_at[0]));
+	b->admitted_at[0] = b->admitted;
+	update_shares(q, now_us, b);
+}
+
+static int is_in_use(const struct bucket *b)
+{
+	return b->rate > 0 && b->reported[0] > LEAST_REPORTED;
+}
+
 int snipe_fleet_quota_report(struct snipe_fleet_quota *q, int64_t now_us,
 			     struct snipe_quota_report *reports, int max)
 {
 	GHashTableIter it;
 	gpointer value;
-	int n = 0;
+	int in_use = 0, index = 0, n;
 
 	forget_removed(q, now_us);
 	g_hash_table_iter_init(&it, q->workspaces);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct bucket *b = value;
 
-		if (b->rate <= 0)
+		if (b->rate > 0)
+			begin_own_report(q, b, now_us);
+		in_use += is_in_use(b);
+	}
+	if (in_use == 0)
+		return 0;
+	q->first_reported %= in_use;
+	g_hash_table_iter_init(&it, q->workspaces);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct bucket *b = value;
+		int place;
+
+		if (!is_in_use(b))
 			continue;
-		refill(q, b, now_us);
-		memmove(&b->reported[1], b->reported,
-			sizeof(b->reported) - sizeof(b->reported[0]));
-		b->reported[0] = demand_rate(q, b, now_us);
-		memmove(&b->admitted_at[1], b->admitted_at,
-			sizeof(b->admitted_at) - sizeof(b->admitted_at[0]));
-		b->admitted_at[0] = b->admitted;
-		update_shares(q, now_us, b);
-		if (n < max && (b->admitted.count || b->reported[0] > 0.01)) {
-			reports[n].workspace = b->id;
-			reports[n].admitted = b->admitted.count;
-			reports[n].demand = (float)b->reported[0];
-			n++;
-		}
+		place = (index++ - q->first_reported + in_use) % in_use;
+		if (place >= max)
+			continue;
+		reports[place].workspace = b->id;
+		reports[place].admitted = b->admitted.count;
+		reports[place].demand = (float)b->reported[0];
 	}
+	n = MIN(in_use, max);
+	/* What the datagram has no room for is at the end: it comes first the next time. */
+	q->first_reported += MAX(n / 2, 1);
 	return n;
 }
--- a/libs/core/fleet_quota.h
+++ b/libs/core/fleet_quota.h
@@ -32,6 +32,7 @@
 	GHashTable *peers;	/* id -> peer */
 	int64_t interval_us;	/* of the reports; may be changed as the fleet grows */
 	int starts_full;
+	int first_reported; /* index of the workspace in use that the next report begins with */
 };
 
 /* What one node reports of one workspace. */
@@ -76,7 +77,8 @@
 void snipe_fleet_quota_give_back(struct snipe_fleet_quota *q, uint64_t workspace);
 
 /* Fills the own report, with the workspaces in use; the shares follow what was reported last.
- * Call at the interval of the reports. Returns the number filled, at most max. */
+ * Call at the interval of the reports. Returns the number filled, at most max. Each report
+ * begins with another workspace: its second half may be left out. */
 int snipe_fleet_quota_report(struct snipe_fleet_quota *q, int64_t now_us,
 			     struct snipe_quota_report *reports, int max);
 
--- a/tests/core/fleet_quota_test.cc
+++ b/tests/core/fleet_quota_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
 #include <vector>
@@ -367,6 +368,55 @@
 	EXPECT_LE(f.worst_over, f.slack());
 }
 
+// The fault: the same workspaces were left out of every report that had no room for all, so
+// that each node spent their rates as if it were alone.
+TEST(FleetQuota, EveryWorkspaceInUseIsReportedInTurn)
+{
+	const int count = 10, room = 4;
+	struct snipe_fleet_quota q;
+	struct snipe_quota_report r[room];
+	std::map<uint64_t, int> reported;
+	int64_t after, now = 0;
+
+	snipe_fleet_quota_init(&q, REPORT_US, 1);
+	for (uint64_t w = 1; w <= count + 1; w++)
+		snipe_fleet_quota_limit(&q, 0, w, 100, 100);
+	for (int round = 0; round < 10; round++, now += REPORT_US) {
+		for (uint64_t w = 1; w <= count; w++)
+			ASSERT_TRUE(snipe_fleet_quota_take(&q, now, w, &after));
+		ASSERT_EQ(snipe_fleet_quota_report(&q, now, r, room), room);
+		// The datagram may have room for half of them only.
+		for (int i = 0; i < room / 2; i++)
+			reported[r[i].workspace]++;
+	}
+	EXPECT_EQ(reported.size(), (size_t)count);
+	for (auto &w : reported)
+		EXPECT_EQ(w.second, 10 * (room / 2) / count) << w.first;
+	// Those that nobody uses any more are left out.
+	now += 60000000;
+	EXPECT_EQ(snipe_fleet_quota_report(&q, now, r, room), 0);
+	snipe_fleet_quota_finish(&q);
+}
+
+// A report that leaves a workspace out says nothing about it.
+TEST(FleetQuota, AWorkspaceThatAReportLeavesOutKeepsItsShares)
+{
+	struct snipe_quota_report use = {WORKSPACE, 1000, 100};
+	struct snipe_quota_view before, after;
+	struct snipe_fleet_quota q;
+
+	snipe_fleet_quota_init(&q, REPORT_US, 1);
+	snipe_fleet_quota_limit(&q, 0, WORKSPACE, 100, 100);
+	snipe_fleet_quota_peer(&q, 0, 5, 1, &use, 1);
+	snipe_fleet_quota_limit(&q, 0, WORKSPACE, 100, 100);
+	ASSERT_EQ(snipe_fleet_quota_view(&q, 0, WORKSPACE, &before), 0);
+	snipe_fleet_quota_peer(&q, REPORT_US, 5, 1, nullptr, 0);
+	snipe_fleet_quota_limit(&q, REPORT_US, WORKSPACE, 100, 100);
+	ASSERT_EQ(snipe_fleet_quota_view(&q, REPORT_US, WORKSPACE, &after), 0);
+	EXPECT_DOUBLE_EQ(before.share, after.share);
+	snipe_fleet_quota_finish(&q);
+}
+
 TEST(FleetQuota, ATokenGivenBackCanBeTakenAgain)
 {
 	struct snipe_fleet_quota q;
