Call requests that a caller sends at once a batch

The code used the word burst both for the size of a workspace's token bucket and for several requests of one caller.

--- a/libs/core/fleet_quota.c
+++ b/libs/core/fleet_quota.c
@@ -25,9 +25,9 @@
 /* Own admissions from which those of the fleet are extrapolated are first reduced by this many
  * standard deviations, so that a short burst at one node is not taken for a rise everywhere. */
 #define SAMPLE_DEVIATIONS 2.0
-/* Requests that follow each other this closely are one burst of one caller, who sends them
+/* Requests that follow each other this closely are one batch of one caller, who sends them
  * before the first is answered: they are one sample, not several. */
-#define SAME_BURST_US 2000
+#define SAME_BATCH_US 2000
 /* Least share from which the fleet's admissions are extrapolated, as a part of an equal one:
  * the share of a node that had no request for an interval says nothing about the next one. */
 #define SAMPLE_SHARE_LEAST 0.5
@@ -75,11 +75,11 @@
 	int64_t at_us;
 	struct admissions {
 		uint32_t count;	  /* since the process started; wraps around */
-		uint32_t squares; /* sum of the squared sizes of bursts */
+		uint32_t squares; /* sum of the squared sizes of batches */
 	} admitted;
 	struct admissions admitted_at[REPORTS_KEPT]; /* at the last own reports, newest first */
 	int64_t admitted_us;			     /* last admission */
-	uint32_t burst_size;			     /* requests of the burst that it ended */
+	uint32_t batch_size;			     /* requests of the batch that it ended */
 	double demand;				     /* decayed count of requests */
 	int64_t demand_at_us;
 	double reported[DEMANDS_KEPT]; /* own demand as reported, newest first */
@@ -437,12 +437,12 @@
 
 static void spend(struct bucket *b, int64_t now_us)
 {
-	b->burst_size = now_us - b->admitted_us <= SAME_BURST_US ? b->burst_size + 1 : 1;
+	b->batch_size = now_us - b->admitted_us <= SAME_BATCH_US ? b->batch_size + 1 : 1;
 	b->admitted_us = now_us;
 	b->tokens -= 1;
 	b->admitted.count++;
 	/* The square of the size grows by the difference of two squares. */
-	b->admitted.squares += 2 * b->burst_size - 1;
+	b->admitted.squares += 2 * b->batch_size - 1;
 }
 
 /* Tokens that are probably left. Nodes whose reports are late may be cut off, and spend what
--- a/tests/core/fleet_quota_test.cc
+++ b/tests/core/fleet_quota_test.cc
@@ -34,7 +34,7 @@
 	std::mt19937 rng{5};
 	long refused = 0, asked = 0;
 	double worst_over = -1e9; // most admissions in a window above rate * window + burst
-	double burst_part = 0;	  // part of the arrivals that are five requests at once
+	double batch_part = 0;	  // part of the arrivals that are five requests at once
 
 	Fleet(int count, double r, double b, int64_t interval_us = REPORT_US)
 	    : rate(r), burst(b), interval(interval_us)
@@ -85,9 +85,9 @@
 			admissions.pop_front();
 		worst_over = std::max(worst_over, admissions.size() - (rate * 5 + burst));
 	}
-	void arrive(size_t node, bool is_burst)
+	void arrive(size_t node, bool is_batch)
 	{
-		for (int i = 0; i < (is_burst ? 5 : 1); i++)
+		for (int i = 0; i < (is_batch ? 5 : 1); i++)
 			ask(node);
 	}
 	// Requests arrive at random at the given rate, at random nodes.
@@ -105,7 +105,7 @@
 			for (double left = per_s / 1000; left > 0; left -= 1)
 				if (chance(rng) < left)
 					arrive(rng() % nodes.size(),
-					       burst_part > 0 && chance(rng) < burst_part);
+					       batch_part > 0 && chance(rng) < batch_part);
 		}
 	}
 	// Cuts the first nodes off from the others; 0 connects all again.
@@ -149,7 +149,7 @@
 }
 
 // Load pattern: a large workspace sends at 85% of its rate, a few requests a second at each
-// node, and some callers send five requests at once. The fault: a node took such a burst, or a
+// node, and some callers send five requests at once. The fault: a node took such a batch, or a
 // request after a while without any, for a rise in the whole fleet, and refused while the
 // bucket was nearly full: 1.4% of the requests with 64 nodes.
 TEST(FleetQuota, MoreRequestsThanUsualAtOneNodeAreNoRiseEverywhere)
@@ -157,19 +157,19 @@
 	for (int nodes : {17, 64}) {
 		Fleet f(nodes, 250, 125, snipe_report_interval_us(nodes));
 
-		f.burst_part = 0.01;
+		f.batch_part = 0.01;
 		f.run(20000000, 0.85 * 250 / 1.04);
 		EXPECT_LE(f.refused, 0.01 * f.asked) << nodes;
 	}
 }
 
-// Guards against the opposite: a workspace whose callers all send in bursts turns hot.
-TEST(FleetQuota, AHotWorkspaceThatSendsInBurstsGetsNoMore)
+// Guards against the opposite: a workspace whose callers all send in batches turns hot.
+TEST(FleetQuota, AHotWorkspaceThatSendsInBatchesGetsNoMore)
 {
 	for (int nodes : {17, 64}) {
 		Fleet f(nodes, 250, 125, snipe_report_interval_us(nodes));
 
-		f.burst_part = 1;
+		f.batch_part = 1;
 		f.run(5000000, 0.62 * 250 / 5);
 		f.run(8000000, 4.5 * 250 / 5);
 		EXPECT_LE(f.worst_over, f.slack()) << nodes;
