--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -10,22 +10,12 @@
 
 #include "gateway/entry.h"
 #include "gateway/gate.h"
+#include "support/gateway.h"
 #include "support/loop.h"
 
 namespace
 {
 
-const struct snipe_dialect DIALECT = {
-	nullptr,
-	{"Id", "Left", "Workspace", "Expect-Server", "Not-Run", "Caller", "Signature", "Token"},
-	"/ready",
-	"tables",
-	"main",
-	"nodes",
-	"departures",
-	"{}",
-};
-
 // A call that came to a node beside a backend server, and that the test answers.
 struct Call {
 	struct snipe_peer_origin from;
@@ -95,7 +85,7 @@
 
 		snipe_counters_init(&counters);
 		snipe_crash_guard_init(&guard);
-		init_peer(&own, "own");
+		init_peer(&own, loop.base, "own");
 		strcpy(settings.node_id, "own");
 		strcpy(settings.service, "home");
 		settings.peer_listen = *snipe_peer_address(&own);
@@ -109,7 +99,7 @@
 			  0)
 			<< err.text;
 		for (int i = 0; i < 2; i++) {
-			init_peer(&servers[i], i ? "s2" : "s1");
+			init_peer(&servers[i], loop.base, i ? "s2" : "s1");
 			snipe_peer_on(&servers[i], SNIPE_MSG_CALL, on_call, &handles[i]);
 			snipe_peer_on(&servers[i], SNIPE_MSG_CANCEL, on_cancel, &handles[i]);
 			report_fds[i] = bind_udp(*snipe_peer_address(&servers[i]));
@@ -134,18 +124,6 @@
 		snipe_directory_finish(&directory);
 		snipe_routing_unref(routing);
 	}
-	void init_peer(struct snipe_peer_task *t, const char *id)
-	{
-		struct snipe_peer_config config = {};
-		struct snipe_error_text err;
-
-		config.base = loop.base;
-		strcpy(config.listen.ip, "127.0.0.1");
-		config.node_id = id;
-		config.process = 1;
-		config.secret = "";
-		ASSERT_EQ(snipe_peer_task_init(t, &config, &err), 0) << err.text;
-	}
 	static int bind_udp(const struct snipe_address &a)
 	{
 		int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
@@ -443,7 +421,7 @@
 	// The link ends when the node's process does.
 	int lost = calls[0].node == &servers[1];
 	snipe_peer_task_finish(&servers[lost]);
-	init_peer(&servers[lost], "gone");
+	init_peer(&servers[lost], loop.base, "gone");
 	EXPECT_EQ(status(s), 502);
 	EXPECT_EQ(calls.size(), 1u);
 }
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -7,22 +7,12 @@
 #include <vector>
 
 #include "gateway/gate.h"
+#include "support/gateway.h"
 #include "support/loop.h"
 
 namespace
 {
 
-const struct snipe_dialect DIALECT = {
-	nullptr,
-	{"Id", "Left", "Workspace", "Expect-Server", "Not-Run", "Caller", "Signature", "Token"},
-	"/ready",
-	"tables",
-	"main",
-	"nodes",
-	"departures",
-	"{}",
-};
-
 struct Answer {
 	int count = 0;
 	int err = 0;
@@ -66,8 +56,8 @@
 
 		snipe_counters_init(&counters);
 		snipe_crash_guard_init(&guard);
-		init_peer(&own, "gate");
-		init_peer(&caller, "caller");
+		init_peer(&own, loop.base, "gate");
+		init_peer(&caller, loop.base, "caller");
 		strcpy(settings.node_id, "gate");
 		strcpy(settings.service, "tips");
 		settings.backend_server = server.address;
@@ -91,18 +81,6 @@
 		snipe_peer_task_finish(&caller);
 		snipe_peer_task_finish(&own);
 	}
-	void init_peer(struct snipe_peer_task *t, const char *id)
-	{
-		struct snipe_peer_config config = {};
-		struct snipe_error_text err;
-
-		config.base = loop.base;
-		strcpy(config.listen.ip, "127.0.0.1");
-		config.node_id = id;
-		config.process = 1;
-		config.secret = "";
-		ASSERT_EQ(snipe_peer_task_init(t, &config, &err), 0);
-	}
 	int notice(const char *id, enum snipe_server_state state, uint64_t sequence,
 		   int64_t born = 1000, int slots = 20, const char *service = "tips")
 	{
