Report the counts of idle workspaces again

Cause: since reports leave out workspaces that were not used for some seconds, a restarted node met their counts only when they were used again, and took all that had ever been spent for new. Found by reading the change.

Change: a workspace of which the node has admitted requests is reported for good, as before.

Open, and written down: with more than 80 used workspaces a restarted node still meets some counts late.

--- a/libs/core/fleet_quota.c
+++ b/libs/core/fleet_quota.c
@@ -58,8 +58,8 @@
 #define FORGET_US 60000000
 /* Intervals within which all nodes must have reported for the split to settle. */
 #define SETTLE_INTERVALS 1.5
-/* Own demand, in requests a second, from which a workspace is reported: after its last request
- * it is for some seconds, so that lost reports do not hide it. */
+/* Own demand, in requests a second, from which a workspace is reported although this node has
+ * admitted none of its requests. */
 #define LEAST_REPORTED 0.01
 /* Shares are computed anew this often while requests come, so that silence is noticed. */
 #define UPDATES_PER_INTERVAL 4
@@ -549,9 +549,10 @@
 	update_shares(q, now_us, b);
 }
 
+/* Counts are reported for good: a node that meets one later takes all of it for new. */
 static int is_in_use(const struct bucket *b)
 {
-	return b->rate > 0 && b->reported[0] > LEAST_REPORTED;
+	return b->rate > 0 && (b->admitted.count || b->reported[0] > LEAST_REPORTED);
 }
 
 int snipe_fleet_quota_report(struct snipe_fleet_quota *q, int64_t now_us,
