Log what decides about tables and about requests that crash servers

The hypotheses of the open incident could not be told apart by the logs: store_call_failed came only for the first of several failures and without the time that the call was open; nothing was logged when a node learned of newer tables, began to read by itself or changed its role; server_died does not name the requests that got a strike, and nothing was logged when strikes came from other nodes.

No decision changes. gateway_gate, gateway_entry, gateway_sync, gateway_directory and core_crash_guard tests pass.

--- a/libs/core/crash_guard.c
+++ b/libs/core/crash_guard.c
@@ -163,6 +163,20 @@
 	return 0;
 }
 
+void snipe_crash_guard_view(const struct snipe_crash_guard *g, uint64_t fingerprint,
+			    struct snipe_crash_view *view)
+{
+	const struct snipe_crash_entry *set = &g->entries[fingerprint % SETS * WAYS];
+
+	memset(view, 0, sizeof(*view));
+	for (int i = 0; i < WAYS; i++) {
+		if (set[i].fingerprint != fingerprint || fingerprint == 0)
+			continue;
+		view->strikes = set[i].strikes;
+		view->last_strike_us = set[i].last_strike_us;
+	}
+}
+
 int64_t snipe_crash_guard_trial_due(struct snipe_crash_guard *g, uint64_t fingerprint)
 {
 	const struct snipe_crash_entry *e = find_entry(g, fingerprint);
--- a/libs/core/crash_guard.h
+++ b/libs/core/crash_guard.h
@@ -65,6 +65,16 @@
 int snipe_crash_guard_cleared(const struct snipe_crash_guard *g, int64_t since_us,
 			      uint64_t *fingerprints, int max);
 
+/* What the guard knows of a request, for logs. */
+struct snipe_crash_view {
+	int strikes;		/* since the last success */
+	int64_t last_strike_us; /* 0: none */
+};
+
+/* Fills what is known of the request; zeroes if nothing is. */
+void snipe_crash_guard_view(const struct snipe_crash_guard *g, uint64_t fingerprint,
+			    struct snipe_crash_view *view);
+
 /* Returns nonzero if the request must be refused. */
 int snipe_crash_guard_is_suspect(const struct snipe_crash_guard *g, int64_t now_us,
 				 uint64_t fingerprint);
--- a/libs/gateway/directory.c
+++ b/libs/gateway/directory.c
@@ -236,6 +236,17 @@
 	}
 }
 
+static void log_role(struct snipe_directory *d)
+{
+	int is_reader = snipe_directory_is_reader(d);
+
+	if (d->was_reader == is_reader)
+		return;
+	d->was_reader = is_reader;
+	snipe_log(SNIPE_LOG_INFO, "reader_role", "reader=%d readers=%d nodes=%d", is_reader,
+		  d->readers.count, snipe_directory_node_count(d));
+}
+
 /* Sends the datagram that was encoded last. What is lost is followed by the next one. */
 static void send_datagram(struct snipe_directory *d, const struct snipe_address *to)
 {
@@ -423,6 +434,7 @@
 	(void)what;
 	check_silence(d, now);
 	choose_readers(d);
+	log_role(d);
 	if (!snipe_directory_is_reader(d) && now - d->questions[0].sent_us >= QUESTION_US)
 		ask_reader(d, now);
 	if (snipe_report_schedule_is_due(&d->schedule, now, snipe_directory_node_count(d),
--- a/libs/gateway/directory.h
+++ b/libs/gateway/directory.h
@@ -64,6 +64,7 @@
 	struct snipe_report_schedule schedule;
 	struct snipe_buffer datagram;
 	struct snipe_readers readers; /* of the reachable nodes */
+	int was_reader;
 	GRand *rng;
 	struct snipe_question {
 		uint64_t nonce; /* 0: none */
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -135,13 +136,14 @@
 		SNIPE_LOG_INFO, "gate_failed",
 		"request=%s outcome=%s reason=%s server=%s origin=%s waited_ms=%lld "
 		"ran_ms=%lld left_ms=%lld running=%d waiting=%d limit=%d notice_age_ms=%lld "
-		"suppressed=%u",
+		"fingerprint=%016" PRIx64 " suppressed=%u",
 		call->request_id, outcome, reason, g->server.id, call->origin.node_id,
 		(long long)(((call->started_us ? call->started_us : now) - call->received_us) /
 			    1000),
 		(long long)(call->started_us ? (now - call->started_us) / 1000 : 0),
 		(long long)((call->deadline_us - now) / 1000), g->queue.running, g->queue.count,
-		gate_limit(g), (long long)((now - g->heard_us) / 1000), suppressed);
+		gate_limit(g), (long long)((now - g->heard_us) / 1000), call->fingerprint,
+		suppressed);
 }
 
 /* Releases a call that the queue does not count any more. */
@@ -224,10 +226,29 @@
 	g->config.changed(g->config.arg);
 }
 
+void snipe_gate_log_strike(const struct snipe_crash_guard *guard, uint64_t fingerprint,
+			   uint64_t death, const char *node_id)
+{
+	static struct snipe_log_limit limit;
+	struct snipe_crash_view v;
+	unsigned suppressed;
+
+	if (!snipe_log_allow(&limit, snipe_now_us(), SNIPE_LOG_LINES_PER_S, &suppressed))
+		return;
+	snipe_crash_guard_view(guard, fingerprint, &v);
+	snipe_log(SNIPE_LOG_INFO, "crash_strike",
+		  "fingerprint=%016" PRIx64 " death=%016" PRIx64
+		  " strikes=%d told_by=%s suppressed=%u",
+		  fingerprint, death, v.strikes, node_id, suppressed);
+}
+
 static void add_strike(struct snipe_gate *g, uint64_t fingerprint)
 {
-	if (!snipe_crash_guard_strike(g->config.guard, snipe_now_us(), fingerprint, g->death) ||
-	    g->strike_count == SNIPE_REPORT_MAX_STRIKES)
+	if (!snipe_crash_guard_strike(g->config.guard, snipe_now_us(), fingerprint, g->death))
+		return;
+	snipe_gate_log_strike(g->config.guard, fingerprint, g->death,
+			      g->config.settings->node_id);
+	if (g->strike_count == SNIPE_REPORT_MAX_STRIKES)
 		return;
 	g->strikes[g->strike_count].fingerprint = fingerprint;
 	g->strikes[g->strike_count++].death = g->death;
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -102,6 +102,9 @@
 /* Fills the server's part of the node's report. */
 void snipe_gate_fill_report(const struct snipe_gate *g, int64_t now_us,
 			    struct snipe_node_report *report);
+/* Logs a strike that was counted; node_id is the node beside the server that died. */
+void snipe_gate_log_strike(const struct snipe_crash_guard *guard, uint64_t fingerprint,
+			   uint64_t death, const char *node_id);
 void snipe_gate_dump(const struct snipe_gate *g, struct snipe_buffer *out);
 
 #ifdef __cplusplus
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <string.h>
 
@@ -272,6 +273,17 @@
 						       SNIPE_REPORT_MAX_QUOTAS);
 }
 
+static void log_cleared(uint64_t fingerprint, const char *node_id, int64_t now_us)
+{
+	static struct snipe_log_limit limit;
+	unsigned suppressed;
+
+	if (snipe_log_allow(&limit, now_us, SNIPE_LOG_LINES_PER_S, &suppressed))
+		snipe_log(SNIPE_LOG_INFO, "crash_strikes_cleared",
+			  "fingerprint=%016" PRIx64 " told_by=%s suppressed=%u", fingerprint,
+			  node_id, suppressed);
+}
+
 static void on_reported(void *arg, int64_t now_us, const struct snipe_node_report *r)
 {
 	struct gateway *g = arg;
@@ -279,10 +291,13 @@
 	snipe_fleet_quota_peer(&g->entry.quota, now_us, snipe_hash64_str(r->node_id),
 			       r->process, r->quotas, r->quota_count);
 	for (int i = 0; i < r->strike_count; i++)
-		snipe_crash_guard_strike(&g->guard, now_us, r->strikes[i].fingerprint,
-					 r->strikes[i].death);
+		if (snipe_crash_guard_strike(&g->guard, now_us, r->strikes[i].fingerprint,
+					     r->strikes[i].death))
+			snipe_gate_log_strike(&g->guard, r->strikes[i].fingerprint,
+					      r->strikes[i].death, r->node_id);
 	for (int i = 0; i < r->cleared_count; i++)
-		snipe_crash_guard_clear(&g->guard, r->cleared[i]);
+		if (snipe_crash_guard_clear(&g->guard, r->cleared[i]))
+			log_cleared(r->cleared[i], r->node_id, now_us);
 }
 
 static void on_fill_confirm(void *arg, int64_t now_us, uint64_t *routing_version,
--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -48,16 +48,32 @@
 		  (long long)(s->lost_us ? (now - s->lost_us) / 1000 : -1));
 }
 
-static void store_failed(struct snipe_sync *s, const char *call, int err)
+/* Milliseconds since the tables held were known to be the newest; -1: never. */
+static long long confirmed_age_ms(const struct snipe_sync *s)
 {
+	int64_t confirmed = s->config.confirmed_us(s->config.arg);
+
+	return confirmed ? (long long)((snipe_now_us() - confirmed) / 1000) : -1;
+}
+
+/* sent_us is when the call was sent. */
+static void store_failed(struct snipe_sync *s, const char *call, int err, int64_t sent_us)
+{
+	int64_t now = snipe_now_us();
+	unsigned suppressed;
+
 	s->failures++;
 	snipe_counters_add(s->config.counters, s->count_read_errors, 1);
-	if (s->is_reachable || s->failures == 1)
+	if (snipe_log_allow(&s->failure_lines, now, SNIPE_LOG_LINES_PER_S, &suppressed))
 		snipe_log(SNIPE_LOG_WARNING, "store_call_failed",
-			  "call=%s err=%s failures=%d version=%llu", call,
-			  snipe_error_name(err), s->failures, (unsigned long long)s->version);
+			  "call=%s err=%s failures=%d version=%llu took_ms=%lld "
+			  "confirmed_age_ms=%lld reader=%d suppressed=%u",
+			  call, snipe_error_name(err), s->failures,
+			  (unsigned long long)s->version, (long long)((now - sent_us) / 1000),
+			  confirmed_age_ms(s), snipe_directory_is_reader(s->config.directory),
+			  suppressed);
 	if (s->is_reachable)
-		s->lost_us = snipe_now_us();
+		s->lost_us = now;
 	s->is_reachable = 0;
 	snipe_counters_set(s->config.counters, s->gauge_reachable, 0);
 }
@@ -68,7 +84,7 @@
 {
 	if (handle > 0)
 		return handle;
-	store_failed(s, call, handle);
+	store_failed(s, call, handle, snipe_now_us());
 	set_timer(retry, snipe_backoff_us(s->rng, s->failures));
 	return 0;
 }
@@ -91,10 +107,12 @@
 		return 0;
 	}
 	snipe_log(SNIPE_LOG_INFO, "tables_in_force",
-		  "version=%llx before=%llx source=%s routes=%d services=%d workspaces=%d",
+		  "version=%llx before=%llx source=%s routes=%d services=%d workspaces=%d "
+		  "confirmed_age_ms=%lld",
 		  (unsigned long long)routing->version,
 		  (unsigned long long)(s->routing ? s->routing->version : 0), source,
-		  routing->route_count, routing->service_count, routing->workspace_count);
+		  routing->route_count, routing->service_count, routing->workspace_count,
+		  confirmed_age_ms(s));
 	snipe_routing_unref(s->routing);
 	s->routing = routing;
 	s->config.tables(s->config.arg, routing);
@@ -141,16 +159,22 @@
 		read_tables(s);
 		return;
 	}
-	store_failed(s, s->version ? "watch" : "get", err);
+	store_failed(s, s->version ? "watch" : "get", err, s->sent_us);
 	retry_tables(s, s->failures);
 }
 
 /* Whether this node has to ask the store itself. */
-static int has_to_read(const struct snipe_sync *s)
+static int has_to_read(struct snipe_sync *s)
 {
 	int64_t age = snipe_now_us() - s->config.confirmed_us(s->config.arg);
-
-	return snipe_directory_is_reader(s->config.directory) || age > ALONE_US;
+	int is_alone = !snipe_directory_is_reader(s->config.directory) && age > ALONE_US;
+
+	if (is_alone && !s->was_alone)
+		snipe_log(SNIPE_LOG_INFO, "tables_read_alone",
+			  "confirmed_age_ms=%lld store_failures=%d", confirmed_age_ms(s),
+			  s->failures);
+	s->was_alone = is_alone;
+	return is_alone || snipe_directory_is_reader(s->config.directory);
 }
 
 static void read_tables(struct snipe_sync *s)
@@ -212,7 +236,7 @@
 
 	s->node_handle = 0;
 	if (err) {
-		store_failed(s, "list", err);
+		store_failed(s, "list", err, s->node_sent_us);
 		set_timer(&s->node_timer, snipe_backoff_us(s->rng, s->failures));
 		return;
 	}
@@ -246,7 +270,7 @@
 		set_timer(&s->node_timer, 0);
 		return;
 	}
-	store_failed(s, "put", err);
+	store_failed(s, "put", err, s->node_sent_us);
 	set_timer(&s->node_timer, snipe_backoff_us(s->rng, s->failures));
 }
 
@@ -257,6 +281,7 @@
 	int handle;
 
 	snipe_address_format(&s->config.settings->peer_listen, own);
+	s->node_sent_us = snipe_now_us();
 	snipe_counters_add(s->config.counters, s->count_writes, 1);
 	handle = store->ops->put(store, s->config.dialect->nodes_kind,
 				 s->config.settings->node_id, s->own_version, own, strlen(own),
@@ -269,6 +294,7 @@
 	struct snipe_object_store *store = s->config.store;
 	int handle;
 
+	s->node_sent_us = snipe_now_us();
 	snipe_counters_add(s->config.counters, s->count_reads, 1);
 	handle = store->ops->list(store, s->config.dialect->nodes_kind, s->has_listed,
 				  SNIPE_STORE_TIMEOUT_MS, on_list, s);
@@ -287,6 +313,11 @@
 		register_node(s);
 }
 
+static uint64_t held_version(const struct snipe_sync *s)
+{
+	return s->routing ? s->routing->version : 0;
+}
+
 static void on_fetched(void *arg, int err, const struct snipe_message *reply, const char *body,
 		       size_t body_len)
 {
@@ -299,8 +330,10 @@
 	if (!err && reply->type != SNIPE_MSG_OBJECT)
 		err = SNIPE_ERR_SYNTAX;
 	if (err) {
-		snipe_log(SNIPE_LOG_INFO, "tables_not_fetched", "err=%s",
-			  snipe_error_name(err));
+		snipe_log(SNIPE_LOG_INFO, "tables_not_fetched", "err=%s took_ms=%lld held=%llx",
+			  snipe_error_name(err),
+			  (long long)((snipe_now_us() - s->fetched_us) / 1000),
+			  (unsigned long long)held_version(s));
 		return;
 	}
 	o = &reply->u.object;
@@ -313,10 +346,13 @@
 	struct snipe_message m;
 	int64_t now = snipe_now_us();
 
-	if (s->fetch || version <= (s->routing ? s->routing->version : 0) ||
-	    now - s->fetched_us < FETCH_PAUSE_US)
+	if (s->fetch || version <= held_version(s) || now - s->fetched_us < FETCH_PAUSE_US)
 		return;
 	s->fetched_us = now;
+	snipe_log(SNIPE_LOG_INFO, "tables_offered",
+		  "version=%llx held=%llx from=%s:%u confirmed_age_ms=%lld",
+		  (unsigned long long)version, (unsigned long long)held_version(s), from->ip,
+		  from->port, confirmed_age_ms(s));
 	memset(&m, 0, sizeof(m));
 	m.type = SNIPE_MSG_FETCH;
 	m.u.fetch.object = SNIPE_OBJECT_TABLES;
@@ -336,7 +372,7 @@
 	memset(&m, 0, sizeof(m));
 	m.type = SNIPE_MSG_OBJECT;
 	if (s->routing) {
-		m.u.object.version = s->routing->version;
+		m.u.object.version = held_version(s);
 		m.u.object.value.data = s->routing->document;
 		m.u.object.value.len = s->routing->document_len;
 	}
--- a/libs/gateway/sync.h
+++ b/libs/gateway/sync.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "base/counters.h"
+#include "base/log.h"
 #include "gateway/dialect.h"
 #include "gateway/directory.h"
 #include "node/peer_task.h"
@@ -51,9 +52,12 @@
 	int missing_reads; /* in a row that found no tables */
 	int64_t lost_us;
 	int is_reachable;
+	int was_alone; /* read by itself although others are to read for it */
+	struct snipe_log_limit failure_lines;
 	struct event retry;
 	/* registration */
 	int node_handle;
+	int64_t node_sent_us;
 	int is_registered;
 	int has_listed;	      /* the list was read after the own entry was there */
 	uint64_t own_version; /* of the own entry, as listed; 0: none */
