--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -12,7 +12,7 @@
 #include <cstdio>
 #include <random>
 
-#include "soak/relay.h"
+#include "support/relay.h"
 #include "support/deployment.h"
 
 using namespace snipe_test;
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -289,6 +289,7 @@
 	struct event *timer;
 	std::unique_ptr<Pending> inner;
 	std::string id;
+	bool crashes;
 };
 
 FakeServer::FakeServer(Loop &loop, Record &record, const std::string &service,
@@ -434,20 +435,24 @@
 		 snipe_now_us()});
 	s->record_.count[id]++;
 	s->running_++;
-	Job *job = new Job{s, req, nullptr, nullptr, id};
+	const std::string &crash_path = s->behaviour.crash_path;
+	bool crashes = !crash_path.empty() && crash_path == snipe_buffer_str(&req->message.url);
+	Job *job = new Job{s, req, nullptr, nullptr, id, crashes};
 	req->owner = job;
 	s->jobs_.insert(job);
 	job->timer = event_new(
 		s->loop_.base, -1, 0,
 		[](evutil_socket_t, short, void *a) {
 			Job *j = static_cast<Job *>(a);
-			if (!j->server->behaviour.inner.empty() && !j->inner)
+			if (j->crashes)
+				j->server->Die();
+			else if (!j->server->behaviour.inner.empty() && !j->inner)
 				j->server->StartInner(j);
 			else
 				j->server->Finish(j);
 		},
 		job);
-	int ms = s->behaviour.run_ms;
+	int ms = crashes ? 0 : s->behaviour.run_ms;
 	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
 	event_add(job->timer, &tv);
 }
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -114,10 +114,11 @@
 
 struct ServerBehaviour {
 	int run_ms = 5;
-	double lose = 0;   // part of the answers that are lost after the run, by a reset
-	double silent = 0; // part that are lost without a reset
-	double refuse = 0; // part that is not run
-	std::string inner; // path of a call to make through the own node, or empty
+	double lose = 0;	// part of the answers that are lost after the run, by a reset
+	double silent = 0;	// part that are lost without a reset
+	double refuse = 0;	// part that is not run
+	std::string crash_path; // a request for it ends the process, or empty
+	std::string inner;	// path of a call to make through the own node, or empty
 	std::string inner_host;
 };
 
@@ -132,6 +133,10 @@
 	void Leave();	     // sends its leaving, and goes on serving
 	void AnnounceLate(); // sends a notice that says ready, whatever the state
 	void Die();	     // closes all at once
+	bool Dead() const
+	{
+		return dead_;
+	}
 	ServerBehaviour behaviour;
 	const std::string id;
 	int refused = 0;	    // requests that it did not run
