Send an overdue read of the store again on a new connection

Callers saw requests handled by a version of the tables although a newer one was acknowledged longer ago than allowed (CONFIG).

Cause: an open connection can stop carrying data without a reset. A watch on it ended after 2.1 s, and the next read took an idle connection of the pool, which was silent as well; nodes that read by themselves after 1.6 s hung in the same way. With all connections silent and a version acknowledged at that moment, no node had it after the contact time of 3 s.

Change, in the client that both dialects share: when an answer is half a second overdue, no connection that is open is used for further calls, and a read is sent once more on a new one; the first answer counts. A write is not sent twice, since the first sending may take effect. The deadline of a call stays, for stores that are slow or away.

Without the second sending two of the three new tests of platform_store_client_test fail.

--- a/libs/platform/store_client.c
+++ b/libs/platform/store_client.c
@@ -7,6 +7,18 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
+
+/* An answer is overdue when it comes so much later than the store may wait with it: a store
+ * that is slow by a factor of a hundred answers sooner, and what is read on a new connection
+ * still comes within the two seconds in which changes have to be in force. */
+#define OVERDUE_MS 500
+
+/* One request of a call on one connection. */
+struct attempt {
+	struct snipe_store_call *call;
+	struct snipe_h1_call *http; /* NULL: not sent, or ended */
+};
 
 struct snipe_store_call {
 	struct snipe_store_call *next;
@@ -15,8 +27,10 @@
 	char *kind, *name;
 	int handle;
 	int timeout_ms;
-	struct snipe_h1_call *http; /* NULL between two requests */
-	struct event deadline;
+	struct attempt first, again; /* again: sent because the answer to first is overdue */
+	char *text;		     /* of the request that is open; NULL for a write */
+	size_t text_len;
+	struct event overdue, deadline;
 	void *state;
 	snipe_object_cb cb;
 	snipe_object_list_cb list_cb;
@@ -32,11 +46,20 @@
 	*at = call->next;
 }
 
+static void cancel_attempt(struct attempt *a)
+{
+	if (a->http)
+		snipe_h1_call_cancel(a->http);
+	a->http = NULL;
+}
+
 static void free_call(struct snipe_store_call *call)
 {
-	if (call->http)
-		snipe_h1_call_cancel(call->http);
+	cancel_attempt(&call->first);
+	cancel_attempt(&call->again);
+	event_del(&call->overdue);
 	event_del(&call->deadline);
+	g_free(call->text);
 	if (call->state)
 		call->client->dialect->free_state(call->state);
 	g_free(call->kind);
@@ -113,13 +136,18 @@
 static void on_done(void *arg, enum snipe_h1_result result,
 		    const struct snipe_h1_message *response)
 {
-	struct snipe_store_call *call = arg;
-
-	call->http = NULL;
-	if (result == SNIPE_H1_COMPLETE)
+	struct attempt *a = arg;
+	struct snipe_store_call *call = a->call;
+	struct attempt *other = a == &call->first ? &call->again : &call->first;
+
+	a->http = NULL;
+	if (result == SNIPE_H1_COMPLETE) {
+		cancel_attempt(other);
+		event_del(&call->overdue);
 		call->client->dialect->take_response(call->client, call, response);
-	else
+	} else if (!other->http) {
 		snipe_store_call_fail(call, result_error(call, result));
+	}
 }
 
 static const struct snipe_h1_call_ops http_ops = {NULL, on_done};
@@ -130,16 +158,63 @@
 
 	(void)fd;
 	(void)what;
-	/* The connection may have stopped carrying data; it is closed with the call. */
 	snipe_store_call_fail(call, snipe_store_call_lost_error(call));
 }
 
-void snipe_store_call_continue(struct snipe_store_call *call, struct evbuffer *request)
+static void start_attempt(struct attempt *a, struct evbuffer *request)
 {
-	struct timeval tv = snipe_timeval((int64_t)call->timeout_ms * 1000);
+	a->http = snipe_h1_call_start(&a->call->client->pool, request, 0, &http_ops, a);
+}
 
-	call->http = snipe_h1_call_start(&call->client->pool, request, 0, &http_ops, call);
-	event_add(&call->deadline, &tv);
+/* The connection may have stopped carrying data, and so may all that were opened before: a read
+ * is sent once more on a new one. A write is not, since its first sending may take effect. */
+static void on_overdue(evutil_socket_t fd, short what, void *arg)
+{
+	struct snipe_store_call *call = arg;
+	struct snipe_store_client *c = call->client;
+	struct evbuffer *request;
+	unsigned suppressed;
+
+	(void)fd;
+	(void)what;
+	if (snipe_log_allow(&c->overdue_lines, snipe_now_us(), SNIPE_LOG_LINES_PER_S,
+			    &suppressed))
+		snipe_log(SNIPE_LOG_WARNING, "store_call_overdue",
+			  "kind=%s name=%s wait_ms=%d connections=%d sent_again=%d "
+			  "suppressed=%u",
+			  call->kind, call->name ? call->name : "", call->request.wait_ms,
+			  c->pool.connection_count, call->text != NULL, suppressed);
+	snipe_h1_pool_renew(&c->pool);
+	if (!call->text)
+		return;
+	request = evbuffer_new();
+	evbuffer_add(request, call->text, call->text_len);
+	start_attempt(&call->again, request);
+	evbuffer_free(request);
+}
+
+/* Keeps what a read sends, in case that it has to be sent again. */
+static void keep_text(struct snipe_store_call *call, struct evbuffer *request)
+{
+	if (call->request.op == SNIPE_STORE_PUT)
+		return;
+	g_free(call->text);
+	call->text_len = evbuffer_get_length(request);
+	call->text = g_malloc(call->text_len);
+	evbuffer_copyout(request, call->text, call->text_len);
+}
+
+void snipe_store_call_continue(struct snipe_store_call *call, struct evbuffer *request)
+{
+	int overdue_ms = call->request.wait_ms + OVERDUE_MS;
+	struct timeval deadline = snipe_timeval((int64_t)call->timeout_ms * 1000);
+	struct timeval overdue = snipe_timeval((int64_t)overdue_ms * 1000);
+
+	keep_text(call, request);
+	start_attempt(&call->first, request);
+	event_add(&call->deadline, &deadline);
+	if (overdue_ms < call->timeout_ms)
+		event_add(&call->overdue, &overdue);
 }
 
 static struct snipe_store_call *new_call(struct snipe_object_store *store,
@@ -157,6 +232,8 @@
 	call->arg = arg;
 	c->next_handle = c->next_handle == G_MAXINT ? 1 : c->next_handle + 1;
 	call->handle = c->next_handle;
+	call->first.call = call->again.call = call;
+	event_assign(&call->overdue, c->base, -1, 0, on_overdue, call);
 	event_assign(&call->deadline, c->base, -1, 0, on_deadline, call);
 	call->next = c->calls;
 	c->calls = call;
--- a/libs/platform/store_client.h
+++ b/libs/platform/store_client.h
@@ -2,10 +2,15 @@
  * Client of an object store over HTTP/1.1: what all dialects of such a store share. It owns the
  * calls with their handles and deadlines and the connections; a dialect writes requests and
  * reads responses. The process must ignore SIGPIPE.
+ *
+ * A connection may stop carrying data without a reset. When an answer is half a second overdue,
+ * no connection that is open is used for further calls, and a read is sent once more on a new
+ * one; the first answer counts.
  */
 #ifndef SNIPE_STORE_CLIENT_H
 #define SNIPE_STORE_CLIENT_H
 
+#include "base/log.h"
 #include "h1/pool.h"
 #include "platform/object_store.h"
 
@@ -58,6 +63,7 @@
 	struct snipe_h1_pool pool;
 	struct snipe_store_call *calls;
 	int next_handle;
+	struct snipe_log_limit overdue_lines;
 };
 
 void snipe_store_client_init(struct snipe_store_client *c,
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -204,3 +204,58 @@
 	loop.run_ms(20);
 	EXPECT_EQ(done, 0);
 }
+
+// Guards against reads that hang, one after the other, on connections that all fell silent.
+TEST_F(StoreClient, AReadThatIsOverdueIsSentAgainOnANewConnection)
+{
+	Socket silent, idle;
+
+	// Two connections, of which one is idle.
+	list(1500);
+	expect_request("GET /k");
+	silent = std::move(peer);
+	peer = Socket();
+	list(1500);
+	expect_request("GET /k");
+	idle = std::move(peer);
+	peer = Socket();
+	idle.send_text("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nend");
+	ASSERT_TRUE(loop.until([&] { return done == 1; }));
+	expect_request("GET /k");
+	answer("end");
+	ASSERT_TRUE(loop.until([&] { return done == 2; }));
+	EXPECT_EQ(err, 0);
+	// The next call uses the connection that answered.
+	list(1500);
+	expect_request("GET /k");
+	answer("end");
+	ASSERT_TRUE(loop.until([&] { return done == 3; }));
+	EXPECT_EQ(client.pool.connection_count, 1);
+}
+
+TEST_F(StoreClient, TheFirstOfTwoAnswersToAnOverdueReadCounts)
+{
+	Socket late;
+
+	list(1500);
+	expect_request("GET /k");
+	late = std::move(peer);
+	peer = Socket();
+	expect_request("GET /k");
+	late.send_text("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nend");
+	await();
+	EXPECT_EQ(err, 0);
+	answer("end");
+	loop.run_ms(50);
+	EXPECT_EQ(done, 1);
+}
+
+// It may have taken effect the first time.
+TEST_F(StoreClient, AWriteThatIsOverdueIsNotSentAgain)
+{
+	store->ops->put(store, "k", "n", 0, "abc", 3, 1000, on_object, this);
+	expect_request("GET /k?len=3");
+	await();
+	EXPECT_EQ(err, SNIPE_ERR_UNKNOWN);
+	EXPECT_LT(server.take().fd, 0);
+}
