Try the store again soon after the first failure of a node that reads alone

A node that heard nothing from readers for 1.6 s reads the store. When this one call failed, for example because the store had closed the kept connection, it paused for 1.5 s, and went by its tables for more than 3 s without a confirmation, while new tables have to be in force after 2 s.

Change: the pause after the first failure is the short one, as for readers. A store that goes on failing is asked at the long interval as before, for the price of its calls.

ANodeThatReadsAloneTriesAgainSoonAfterTheFirstFailure failed before.

--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -120,11 +120,12 @@
 	return 0;
 }
 
-/* Reads the tables again after the given number of reads in a row that brought none. */
+/* Reads the tables again after the given number of reads in a row that brought none. The first
+ * failure says little of the store: its connection may have been closed meanwhile. */
 static void retry_tables(struct snipe_sync *s, int reads)
 {
 	int is_urgent = snipe_directory_is_reader(s->config.directory) || !s->routing ||
-			s->fetch_failed;
+			s->fetch_failed || reads == 1;
 
 	set_timer(&s->retry, is_urgent ? snipe_backoff_us(s->rng, reads) : ALONE_PAUSE_US);
 }
--- a/tests/gateway/sync_test.cc
+++ b/tests/gateway/sync_test.cc
@@ -316,3 +316,26 @@
 		[&, end = snipe_now_us() + 500000] { return snipe_now_us() > end; });
 	EXPECT_EQ(store.of("config").size(), reads + 1) << "it goes on as before";
 }
+
+// Guards against a node that is alone with old tables for longer than tables may take to be in
+// force, because one call failed.
+TEST_F(Sync, ANodeThatReadsAloneTriesAgainSoonAfterTheFirstFailure)
+{
+	answer(0, 7, "v3");
+	expect_read(2, "watch", 7);
+	stop_reading();
+	size_t reads = store.of("config").size();
+	confirmed_age_us = 1700000;
+	ASSERT_TRUE(
+		until_beside_others([&] { return store.of("config").size() == reads + 1; }));
+	answer(SNIPE_ERR_UNAVAILABLE);
+	int64_t failed_us = snipe_now_us();
+	ASSERT_TRUE(
+		until_beside_others([&] { return store.of("config").size() == reads + 2; }));
+	EXPECT_LT(snipe_now_us() - failed_us, 1000000);
+	// A store that goes on failing is asked less often.
+	answer(SNIPE_ERR_UNAVAILABLE);
+	until_beside_others(
+		[&, end = snipe_now_us() + 1000000] { return snipe_now_us() > end; });
+	EXPECT_EQ(store.of("config").size(), reads + 2);
+}
