Do not confirm tables after newer ones that could not be decoded

A document that could not be decoded confirmed nothing, but the next watch, which starts behind it and sees no change, confirmed the tables before it as the newest, for good: a withdrawn key would be accepted and a moved route served by its old service (CONFIG).

Change: nothing is confirmed until the tables were decoded or replaced, and they are read anew after each watch.

TablesThatCannotBeReadAreReadAgainUntilTheyCan failed before: 2 confirmations instead of 1.

--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -139,9 +139,14 @@
 		store_answered(s);
 		s->version = object->version;
 		s->missing_reads = 0;
-		/* Tables that cannot be read may withdraw a key: nothing is confirmed then. */
-		if (err == SNIPE_ERR_STALE || load(s, object->value, object->len, "store") == 0)
+		if (err == 0)
+			s->is_unread = load(s, object->value, object->len, "store") < 0;
+		/* Tables that cannot be read may withdraw a key: nothing is confirmed until
+		 * they are replaced or a new read of them succeeds. */
+		if (!s->is_unread)
 			s->config.confirmed(s->config.arg, s->sent_us);
+		else if (err == SNIPE_ERR_STALE)
+			s->version = 0;
 		read_tables(s);
 		return;
 	}
--- a/libs/gateway/sync.h
+++ b/libs/gateway/sync.h
@@ -50,6 +50,7 @@
 	int64_t sent_us;
 	int failures;	   /* in a row */
 	int missing_reads; /* in a row that found no tables */
+	int is_unread;	   /* the newest tables could not be decoded */
 	int64_t lost_us;
 	int is_reachable;
 	int was_alone; /* read by itself although others are to read for it */
--- a/tests/gateway/sync_test.cc
+++ b/tests/gateway/sync_test.cc
@@ -252,6 +252,28 @@
 	EXPECT_EQ(versions, std::vector<uint64_t>{3}) << "older tables are never taken";
 }
 
+// Guards against a watch that sees no change after such tables, and confirms the ones before.
+TEST_F(Sync, TablesThatCannotBeReadAreReadAgainUntilTheyCan)
+{
+	answer(0, 7, "v3");
+	answer(0, 8, "broken");
+	expect_read(3, "watch", 8);
+	answer(SNIPE_ERR_STALE, 8);
+	EXPECT_EQ(confirmed, 1);
+	expect_read(4, "get");
+	answer(0, 8, "broken");
+	EXPECT_EQ(confirmed, 1);
+	expect_read(5, "watch", 8);
+	answer(SNIPE_ERR_STALE, 8);
+	expect_read(6, "get");
+	answer(0, 8, "v4");
+	EXPECT_EQ(versions, (std::vector<uint64_t>{3, 4}));
+	EXPECT_EQ(confirmed, 2);
+	expect_read(7, "watch", 8);
+	answer(SNIPE_ERR_STALE, 8);
+	EXPECT_EQ(confirmed, 3);
+}
+
 TEST_F(Sync, ANodeRegistersAndListsTheOthers)
 {
 	char own[SNIPE_ADDRESS_TEXT];
