Recognize a crashing request by what callers send, not by its route

Cause: its fingerprint held the name of its route. Versions of the tables rename, split and move routes; the same request then had another fingerprint, and its strikes were lost. After a version that renames the route it reached servers 9 times more, 3 are allowed; the crash_strike lines show a new fingerprint from strikes=1 on. The caller was no part of it, so that a success of another workspace with the same path and body would have cleared the strikes.

Change: host, workspace, method, path with query and body. The project's own interface, which knows neither host nor workspace at that point, uses method, path and body; the route followed from them.

FingerprintCoversEveryField and RequestWithTwoStrikesIsSuspect name the new fields.

--- a/libs/core/crash_guard.c
+++ b/libs/core/crash_guard.c
@@ -25,15 +25,15 @@
 	memset(g, 0, sizeof(*g));
 }
 
-uint64_t snipe_crash_fingerprint(const char *route, const char *method, const char *path,
-				 const void *body, size_t body_len)
+uint64_t snipe_crash_fingerprint(const struct snipe_crash_request *r)
 {
-	uint64_t h = snipe_hash64_str(route);
+	uint64_t h = snipe_hash64_str(r->host);
 
 	/* Each hash is the seed of the next, which keeps the fields apart. */
-	h = snipe_hash64_seed(method, strlen(method), h);
-	h = snipe_hash64_seed(path, strlen(path), h);
-	h = snipe_hash64_seed(body_len ? body : "", body_len, h);
+	h = snipe_hash64_seed(r->caller, strlen(r->caller), h);
+	h = snipe_hash64_seed(r->method, strlen(r->method), h);
+	h = snipe_hash64_seed(r->path, strlen(r->path), h);
+	h = snipe_hash64_seed(r->body_len ? r->body : "", r->body_len, h);
 	return h ? h : 1;
 }
 
--- a/libs/core/crash_guard.h
+++ b/libs/core/crash_guard.h
@@ -41,9 +41,19 @@
 
 void snipe_crash_guard_init(struct snipe_crash_guard *g);
 
+/* What makes two requests the same. Nothing in it depends on the tables, which change while a
+ * request is suspect. */
+struct snipe_crash_request {
+	const char *host;   /* lower case; empty where requests are not told apart by it */
+	const char *caller; /* workspace; empty if none is known */
+	const char *method;
+	const char *path; /* with the query */
+	const void *body;
+	size_t body_len;
+};
+
 /* Never returns 0. */
-uint64_t snipe_crash_fingerprint(const char *route, const char *method, const char *path,
-				 const void *body, size_t body_len);
+uint64_t snipe_crash_fingerprint(const struct snipe_crash_request *r);
 
 /*
  * A server died while the request ran, here or at another node of the pool. death identifies
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -162,11 +162,26 @@
 	return call->is_trial;
 }
 
+static uint64_t request_fingerprint(const struct snipe_entry_call *call)
+{
+	const struct snipe_h1_message *m = &call->req->message;
+	struct snipe_crash_request r = {
+		.host = call->route->host,
+		.caller = call->workspace >= 0 ? call->routing->workspaces[call->workspace].name
+					       : "",
+		.method = http_method_str((enum http_method)m->method),
+		.path = snipe_buffer_str(&call->req->message.url),
+		.body = m->body.data,
+		.body_len = m->body.len,
+	};
+
+	return snipe_crash_fingerprint(&r);
+}
+
 static void on_request(void *arg, struct snipe_h1_request *req)
 {
 	struct snipe_entry *e = arg;
 	struct snipe_entry_call *call = new_call(e, req);
-	const struct snipe_h1_message *m = &req->message;
 	struct snipe_entry_rejection r = snipe_entry_call_check(call);
 
 	snipe_counters_add(e->config.counters, e->count_requests, 1);
@@ -183,9 +198,7 @@
 	call->service_state = find_service_state(e, call->service);
 	/* Inner calls of the backend server carry no key. */
 	call->is_inner = call->workspace < 0 && call->routing->needs_keys;
-	call->fingerprint = snipe_crash_fingerprint(
-		call->route->name, http_method_str((enum http_method)m->method),
-		snipe_buffer_str(&req->message.url), m->body.data, m->body.len);
+	call->fingerprint = request_fingerprint(call);
 	count_call(e, call->service_state);
 	if (snipe_crash_guard_is_suspect(e->config.guard, call->received_us,
 					 call->fingerprint) &&
--- a/libs/node/caller_request.c
+++ b/libs/node/caller_request.c
@@ -166,6 +166,20 @@
 	snipe_retry_ledger_open(&t->ledger, call->id, call->route->max_retries);
 }
 
+static uint64_t request_fingerprint(const struct snipe_call *call)
+{
+	struct snipe_crash_request r = {
+		.host = "",
+		.caller = "",
+		.method = call->route->method,
+		.path = call->uri,
+		.body = call->body,
+		.body_len = call->body_len,
+	};
+
+	return snipe_crash_fingerprint(&r);
+}
+
 enum snipe_reason snipe_call_check(struct snipe_call *call, int is_local)
 {
 	struct snipe_caller_task *t = call->task;
@@ -189,8 +203,7 @@
 	reason = check_deadline(call);
 	if (reason != SNIPE_REASON_NONE)
 		return reason;
-	call->fingerprint = snipe_crash_fingerprint(call->route->name, call->route->method,
-						    call->uri, call->body, call->body_len);
+	call->fingerprint = request_fingerprint(call);
 	reason = is_local ? check_context(call) : check_key(call, &keys);
 	if (reason == SNIPE_REASON_NONE)
 		reason = check_identifier(call);
--- a/tests/core/crash_guard_test.cc
+++ b/tests/core/crash_guard_test.cc
@@ -2,6 +2,8 @@
 // rejections of requests that only ran beside it.
 #include <gtest/gtest.h>
 
+#include <cstring>
+
 #include "core/crash_guard.h"
 
 namespace
@@ -127,15 +129,24 @@
 
 TEST_F(CrashGuard, FingerprintCoversEveryField)
 {
-	uint64_t f = snipe_crash_fingerprint("r", "GET", "/a", "x", 1);
-
-	EXPECT_EQ(f, snipe_crash_fingerprint("r", "GET", "/a", "x", 1));
-	EXPECT_NE(f, snipe_crash_fingerprint("s", "GET", "/a", "x", 1));
-	EXPECT_NE(f, snipe_crash_fingerprint("r", "PUT", "/a", "x", 1));
-	EXPECT_NE(f, snipe_crash_fingerprint("r", "GET", "/b", "x", 1));
-	EXPECT_NE(f, snipe_crash_fingerprint("r", "GET", "/a", "y", 1));
-	EXPECT_NE(f, snipe_crash_fingerprint("r", "GET", "/ax", "", 0)) << "joined fields";
-	EXPECT_NE(f, snipe_crash_fingerprint("r", "GET", "/a", nullptr, 0));
+	auto of = [](const char *host, const char *caller, const char *method, const char *path,
+		     const char *body) {
+		struct snipe_crash_request r = {host, caller, method,
+						path, body,   body ? strlen(body) : 0};
+
+		return snipe_crash_fingerprint(&r);
+	};
+	uint64_t f = of("h", "c", "GET", "/a", "x");
+
+	EXPECT_EQ(f, of("h", "c", "GET", "/a", "x"));
+	EXPECT_NE(f, of("i", "c", "GET", "/a", "x"));
+	EXPECT_NE(f, of("h", "d", "GET", "/a", "x"));
+	EXPECT_NE(f, of("h", "c", "PUT", "/a", "x"));
+	EXPECT_NE(f, of("h", "c", "GET", "/b", "x"));
+	EXPECT_NE(f, of("h", "c", "GET", "/a", "y"));
+	EXPECT_NE(f, of("hc", "", "GET", "/a", "x")) << "joined fields";
+	EXPECT_NE(f, of("h", "c", "GET", "/ax", "")) << "joined fields";
+	EXPECT_NE(f, of("h", "c", "GET", "/a", nullptr));
 	EXPECT_FALSE(snipe_crash_guard_strike(&g, 0, 0, 1)) << "0 marks a free entry";
 }
 
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -442,12 +442,12 @@
 /* Guards against a request that takes down one backend server after another. */
 TEST_F(CallPath, RequestWithTwoStrikesIsSuspect)
 {
+	const struct snipe_crash_request request = {"", "", "POST", "/charge", "bad", 3};
 	snipe_task_message m = {};
 
 	m.type = SNIPE_TASK_STRIKES;
 	m.u.strikes.count = 1;
-	m.u.strikes.fingerprints[0] =
-		snipe_crash_fingerprint("charge", "POST", "/charge", "bad", 3);
+	m.u.strikes.fingerprints[0] = snipe_crash_fingerprint(&request);
 	for (m.u.strikes.death = 1; m.u.strikes.death <= 2; m.u.strikes.death++)
 		side.PostBackend(m);
 	EXPECT_TRUE(Has(Call("POST /charge", WithKey(), "good"), "200 OK"));
