Give a strike to each request that ran when a server died

Cause: of the requests whose connections ended with a server only eight were remembered, and only eight strikes were reported to other nodes. A server of the users' sites runs up to 176 requests at a time; the one that ends servers was among the eight by chance.

Change: all are remembered and reported, 24 in a report; while some were not reported yet, the next report follows at once. Each is repeated in turn for 3 s as before.

EachRequestThatRanWhenAServerDiedGetsAStrike: 50 requests run when the server dies, and all get a strike; with the code before, the test does not compile since it asks for strikes not yet reported, and its first half fails by the limit of eight.

--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -31,6 +31,8 @@
 #define DEATH_WINDOW_US 3000000
 /* Strikes are reported for this long, so that a lost report does not hide them. */
 #define STRIKE_REPORT_US 3000000
+/* Requests of a death that are remembered: more than a server runs at a time. */
+#define MAX_LOST 4096
 /* Announcements of a server that left are ignored for this long: those that were held up on
  * the way have come by then, and a server that still announces itself serves. */
 #define DEPARTURE_MEMORY_US 15000000
@@ -244,14 +246,13 @@
 
 static void add_strike(struct snipe_gate *g, uint64_t fingerprint)
 {
+	struct snipe_strike strike = {fingerprint, g->death};
+
 	if (!snipe_crash_guard_strike(g->config.guard, snipe_now_us(), fingerprint, g->death))
 		return;
 	snipe_gate_log_strike(g->config.guard, fingerprint, g->death,
 			      g->config.settings->node_id);
-	if (g->strike_count == SNIPE_REPORT_MAX_STRIKES)
-		return;
-	g->strikes[g->strike_count].fingerprint = fingerprint;
-	g->strikes[g->strike_count++].death = g->death;
+	g_array_append_val(g->strikes, strike);
 }
 
 /* One death shows in several ways, one after the other. */
@@ -265,10 +266,12 @@
 {
 	int64_t now = snipe_now_us();
 
-	if (now - g->death_us > STRIKE_REPORT_US)
-		g->strike_count = 0;
+	if (now - g->death_us > STRIKE_REPORT_US) {
+		g_array_set_size(g->strikes, 0);
+		g->told = 0;
+	}
 	if (now - g->lost_us > DEATH_WINDOW_US)
-		g->lost_count = 0;
+		g_array_set_size(g->lost, 0);
 	if (is_new_death(g)) {
 		g->death = snipe_hash64_seed(&now, sizeof(now),
 					     snipe_hash64_str(g->config.settings->node_id));
@@ -276,8 +279,8 @@
 		g_strlcpy(g->dead_id, g->server.id, sizeof(g->dead_id));
 	}
 	g->death_us = now;
-	for (int i = 0; i < g->lost_count; i++)
-		add_strike(g, g->lost[i]);
+	for (guint i = 0; i < g->lost->len; i++)
+		add_strike(g, g_array_index(g->lost, uint64_t, i));
 	for (guint i = 0; i < g->calls->len; i++) {
 		const struct snipe_gate_call *call = g->calls->pdata[i];
 
@@ -285,9 +288,9 @@
 			add_strike(g, call->fingerprint);
 	}
 	snipe_log(SNIPE_LOG_WARNING, "server_died",
-		  "server=%s evidence=%s running=%d lost=%d strikes=%d", g->server.id, evidence,
-		  g->queue.running, g->lost_count, g->strike_count);
-	g->lost_count = 0;
+		  "server=%s evidence=%s running=%d lost=%u strikes=%u", g->server.id, evidence,
+		  g->queue.running, g->lost->len, g->strikes->len);
+	g_array_set_size(g->lost, 0);
 }
 
 static void record_lost(struct snipe_gate *g, uint64_t fingerprint)
@@ -295,10 +298,10 @@
 	int64_t now = snipe_now_us();
 
 	if (now - g->lost_us > DEATH_WINDOW_US)
-		g->lost_count = 0;
+		g_array_set_size(g->lost, 0);
 	g->lost_us = now;
-	if (g->lost_count < SNIPE_REPORT_MAX_STRIKES)
-		g->lost[g->lost_count++] = fingerprint;
+	if (g->lost->len < MAX_LOST)
+		g_array_append_val(g->lost, fingerprint);
 }
 
 static void record_run(struct snipe_gate *g, const struct snipe_gate_call *call)
@@ -757,6 +760,8 @@
 	snipe_h1_pool_set_address(&g->pool, &config->settings->backend_server);
 	g->tick_us = snipe_now_us();
 	g->calls = g_ptr_array_new();
+	g->strikes = g_array_new(FALSE, FALSE, sizeof(struct snipe_strike));
+	g->lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g->by_origin = g_hash_table_new(snipe_peer_origin_hash, snipe_peer_origin_equal);
 	init_counters(g);
 	event_assign(&g->tick, config->base, -1, EV_PERSIST, on_tick, g);
@@ -779,6 +784,8 @@
 	snipe_work_queue_finish(&g->queue);
 	g_hash_table_destroy(g->by_origin);
 	g_ptr_array_free(g->calls, TRUE);
+	g_array_free(g->strikes, TRUE);
+	g_array_free(g->lost, TRUE);
 }
 
 void snipe_gate_set_max_connections(struct snipe_gate *g, int max_connections)
@@ -797,8 +804,28 @@
 	return g->in_flight;
 }
 
-void snipe_gate_fill_report(const struct snipe_gate *g, int64_t now_us,
-			    struct snipe_node_report *r)
+int snipe_gate_has_news(const struct snipe_gate *g)
+{
+	return g->told < g->strikes->len;
+}
+
+/* A report has room for some strikes: each is repeated in turn, against lost reports. */
+static void fill_strikes(struct snipe_gate *g, int64_t now_us, struct snipe_node_report *r)
+{
+	guint n = MIN(g->strikes->len, SNIPE_REPORT_MAX_STRIKES);
+
+	if (now_us - g->death_us > STRIKE_REPORT_US)
+		return;
+	for (guint i = 0; i < n; i++) {
+		guint at =
+			g->told < g->strikes->len ? g->told++ : g->repeated++ % g->strikes->len;
+
+		r->strikes[i] = g_array_index(g->strikes, struct snipe_strike, at);
+	}
+	r->strike_count = (int)n;
+}
+
+void snipe_gate_fill_report(struct snipe_gate *g, int64_t now_us, struct snipe_node_report *r)
 {
 	const char *reason = refusal(g, now_us);
 
@@ -812,10 +839,7 @@
 	r->service_us = (int64_t)g->service_us;
 	r->cold_left_us = MAX(g->cold_until_us - now_us, 0);
 	r->is_stopping = g->is_stopping;
-	if (now_us - g->death_us > STRIKE_REPORT_US)
-		return;
-	memcpy(r->strikes, g->strikes, sizeof(r->strikes));
-	r->strike_count = g->strike_count;
+	fill_strikes(g, now_us, r);
 }
 
 void snipe_gate_dump(const struct snipe_gate *g, struct snipe_buffer *out)
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -72,11 +72,11 @@
 	uint64_t death;		       /* tells the last death apart from others */
 	char dead_id[SNIPE_NAME_SIZE]; /* the server that died last */
 	int64_t dead_born_ms;
-	struct snipe_strike strikes[SNIPE_REPORT_MAX_STRIKES]; /* of recent deaths */
-	int strike_count;
+	GArray *strikes; /* of recent deaths; struct snipe_strike */
+	guint told;	 /* of them, those that a report had */
+	guint repeated;	 /* counts the repetitions */
 	int64_t death_us;
-	uint64_t lost[SNIPE_REPORT_MAX_STRIKES]; /* requests whose connections ended lately */
-	int lost_count;
+	GArray *lost; /* fingerprints of requests whose connections ended lately */
 	int64_t lost_us;
 	struct event tick;
 	int64_t tick_us; /* last turn of the tick; long ago: the process stood still */
@@ -99,9 +99,11 @@
 /* The node stops: no new calls. */
 void snipe_gate_stop(struct snipe_gate *g);
 int snipe_gate_in_flight(const struct snipe_gate *g);
-/* Fills the server's part of the node's report. */
-void snipe_gate_fill_report(const struct snipe_gate *g, int64_t now_us,
+/* Fills the server's part of the node's report. Strikes that no report had yet come first. */
+void snipe_gate_fill_report(struct snipe_gate *g, int64_t now_us,
 			    struct snipe_node_report *report);
+/* Nonzero if there are strikes that no report had yet. */
+int snipe_gate_has_news(const struct snipe_gate *g);
 /* Logs a strike that was counted; node_id is the node beside the server that died. */
 void snipe_gate_log_strike(const struct snipe_crash_guard *guard, uint64_t fingerprint,
 			   uint64_t death, const char *node_id);
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -267,6 +267,8 @@
 	g->entry.quota.interval_us = snipe_directory_interval_us(&g->directory);
 	report->routing_version = g->routing ? g->routing->version : 0;
 	snipe_gate_fill_report(&g->gate, now_us, report);
+	if (snipe_gate_has_news(&g->gate))
+		snipe_directory_publish(&g->directory);
 	report->cleared_count = snipe_crash_guard_cleared(&g->guard, now_us - CLEARED_REPORT_US,
 							  report->cleared, SNIPE_CRASH_CLEARED);
 	report->quota_count = snipe_fleet_quota_report(&g->entry.quota, now_us, report->quotas,
--- a/libs/wire/report.h
+++ b/libs/wire/report.h
@@ -22,7 +22,7 @@
 /* Keeps a datagram below the path MTU of 1,500 bytes. */
 #define SNIPE_REPORT_MAX_BYTES 1400
 #define SNIPE_REPORT_MAX_QUOTAS 80
-#define SNIPE_REPORT_MAX_STRIKES 8
+#define SNIPE_REPORT_MAX_STRIKES 24
 
 enum snipe_server_state {
 	SNIPE_SERVER_NONE, /* not announced, or gone */
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -608,6 +609,46 @@
 	EXPECT_EQ(r.strikes[0].fingerprint, 99u);
 }
 
+// Guards against a request that goes on crashing servers because only some of those that ran
+// beside it are remembered, or reported.
+TEST_F(Gate, EachRequestThatRanWhenAServerDiedGetsAStrike)
+{
+	const uint64_t count = 50;
+	std::vector<std::unique_ptr<Answer>> answers;
+	std::set<uint64_t> reported;
+
+	notice("i-1", SNIPE_SERVER_READY, 1, 1000, 200);
+	for (uint64_t f = 1; f <= count; f++) {
+		answers.push_back(std::make_unique<Answer>());
+		call(*answers.back(), true, "r", 5000000, 3000000, 1000 + f);
+	}
+	ASSERT_TRUE(loop.until([&] {
+		Socket s = server.take();
+		if (s.fd >= 0)
+			taken.push_back(std::make_unique<Socket>(std::move(s)));
+		return taken.size() == count;
+	}));
+	for (auto &s : taken)
+		s->reset_now();
+	for (auto &a : answers)
+		ASSERT_TRUE(answered(*a));
+	notice("i-2", SNIPE_SERVER_READY, 1, 2000, 200);
+	for (uint64_t f = 1; f <= count; f++) {
+		struct snipe_crash_view v;
+
+		snipe_crash_guard_view(&guard, 1000 + f, &v);
+		EXPECT_EQ(v.strikes, 1) << f;
+	}
+	for (int i = 0; snipe_gate_has_news(&gate) && i < 10; i++) {
+		struct snipe_node_report r = {};
+
+		snipe_gate_fill_report(&gate, snipe_now_us(), &r);
+		for (int k = 0; k < r.strike_count; k++)
+			reported.insert(r.strikes[k].fingerprint);
+	}
+	EXPECT_EQ(reported.size(), count);
+}
+
 TEST_F(Gate, AServerWithoutNoticesAndResponsesIsTakenForGone)
 {
 	Answer a;
