Tell nodes that were away which requests are suspect

Cause: strikes were reported for 3 s after a death and then only kept. A node that started later, or was cut off in these seconds, sent the request on as entry and let it pass as gate.

Change: each node tells of one of its suspects a second, each in turn, with the deaths that count and the age of the last strike, by which the receiver waits for a trial and forgets as long as the others. Deaths that a node knows do not count again, also after a success. A late report of an old strike allows no further trial.

IsStoppedAlthoughNodesRestartInTurn fails still: its four nodes restart within 0.1 s, which leaves nobody who could tell.

--- a/libs/core/crash_guard.c
+++ b/libs/core/crash_guard.c
@@ -110,11 +110,61 @@
 	e->strikes++;
 	e->deaths[e->next_death] = death;
 	e->next_death = (e->next_death + 1) % SNIPE_CRASH_DEATHS;
-	e->last_strike_us = now_us;
-	e->has_tried = 0;
+	if (now_us > e->last_strike_us) {
+		e->last_strike_us = now_us;
+		e->has_tried = 0;
+	}
 	return 1;
 }
 
+int snipe_crash_guard_told(struct snipe_crash_guard *g, int64_t now_us,
+			   const struct snipe_strike *s)
+{
+	if (s->age_us < 0 || s->age_us >= SUSPECT_US)
+		return 0;
+	return snipe_crash_guard_strike(g, now_us - s->age_us, s->fingerprint, s->death);
+}
+
+static int is_suspect(const struct snipe_crash_entry *e, int64_t now_us)
+{
+	return e->strikes >= STRIKES_TO_SUSPECT && !is_outdated(e, now_us);
+}
+
+/* The last deaths of an entry that count, the latest first. */
+static int list_strikes(const struct snipe_crash_entry *e, int64_t now_us,
+			struct snipe_strike *out)
+{
+	int n = MIN(e->strikes, SNIPE_CRASH_STRIKES_TOLD);
+
+	for (int i = 0; i < n; i++) {
+		int at = (e->next_death + SNIPE_CRASH_DEATHS - 1 - i) % SNIPE_CRASH_DEATHS;
+
+		out[i].fingerprint = e->fingerprint;
+		out[i].death = e->deaths[at];
+		out[i].age_us = now_us - e->last_strike_us;
+	}
+	return n;
+}
+
+int snipe_crash_guard_tell(struct snipe_crash_guard *g, int64_t now_us,
+			   struct snipe_strike *strikes, int max)
+{
+	int first = g->next_told, n = 0;
+
+	for (int i = 0; i < SNIPE_CRASH_GUARD_ENTRIES; i++) {
+		int at = (first + i) % SNIPE_CRASH_GUARD_ENTRIES;
+
+		if (!is_suspect(&g->entries[at], now_us))
+			continue;
+		g->next_told = at;
+		if (n + SNIPE_CRASH_STRIKES_TOLD > max)
+			break;
+		n += list_strikes(&g->entries[at], now_us, strikes + n);
+		g->next_told = (at + 1) % SNIPE_CRASH_GUARD_ENTRIES;
+	}
+	return n;
+}
+
 int snipe_crash_guard_clear(struct snipe_crash_guard *g, uint64_t fingerprint)
 {
 	struct snipe_crash_entry *e = find_entry(g, fingerprint);
@@ -158,8 +208,7 @@
 
 	for (int i = 0; i < WAYS; i++)
 		if (set[i].fingerprint == fingerprint)
-			return set[i].strikes >= STRIKES_TO_SUSPECT &&
-			       !is_outdated(&set[i], now_us);
+			return is_suspect(&set[i], now_us);
 	return 0;
 }
 
--- a/libs/core/crash_guard.h
+++ b/libs/core/crash_guard.h
@@ -23,6 +23,17 @@
 /* Successes that are told to other nodes at a time. */
 #define SNIPE_CRASH_CLEARED 8
 
+/* Strikes of one suspect that are told to other nodes: enough for them to refuse it and to wait
+ * as long for a trial. */
+#define SNIPE_CRASH_STRIKES_TOLD 4
+
+/* A server died while the request ran. */
+struct snipe_strike {
+	uint64_t fingerprint;
+	uint64_t death; /* tells deaths apart */
+	int64_t age_us; /* since the request's last strike */
+};
+
 /* Fields are private. */
 struct snipe_crash_guard {
 	struct snipe_crash_entry {
@@ -37,6 +48,7 @@
 		uint64_t fingerprint; /* 0: free */
 		int64_t at_us;
 	} cleared[SNIPE_CRASH_CLEARED]; /* by successes that this node saw */
+	int next_told;			/* index of the suspect that is told next */
 };
 
 void snipe_crash_guard_init(struct snipe_crash_guard *g);
@@ -64,6 +76,14 @@
 int snipe_crash_guard_strike(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint,
 			     uint64_t death);
 
+/* Another node tells of a strike, maybe long after it. Returns 1 if it was counted. */
+int snipe_crash_guard_told(struct snipe_crash_guard *g, int64_t now_us,
+			   const struct snipe_strike *strike);
+/* Fills the strikes of suspects, so many at a time and each in its turn, for nodes that were
+ * away when the servers died. Returns their number. */
+int snipe_crash_guard_tell(struct snipe_crash_guard *g, int64_t now_us,
+			   struct snipe_strike *strikes, int max);
+
 /* A request with this fingerprint ended here without a crash. Returns 1 if strikes were
  * cleared: then other nodes should be told. */
 int snipe_crash_guard_success(struct snipe_crash_guard *g, int64_t now_us,
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -246,7 +246,7 @@
 
 static void add_strike(struct snipe_gate *g, uint64_t fingerprint)
 {
-	struct snipe_strike strike = {fingerprint, g->death};
+	struct snipe_strike strike = {fingerprint, g->death, 0};
 
 	if (!snipe_crash_guard_strike(g->config.guard, snipe_now_us(), fingerprint, g->death))
 		return;
@@ -821,6 +821,7 @@
 			g->told < g->strikes->len ? g->told++ : g->repeated++ % g->strikes->len;
 
 		r->strikes[i] = g_array_index(g->strikes, struct snipe_strike, at);
+		r->strikes[i].age_us = now_us - g->death_us;
 	}
 	r->strike_count = (int)n;
 }
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -72,7 +72,7 @@
 	uint64_t death;		       /* tells the last death apart from others */
 	char dead_id[SNIPE_NAME_SIZE]; /* the server that died last */
 	int64_t dead_born_ms;
-	GArray *strikes; /* of recent deaths; struct snipe_strike */
+	GArray *strikes; /* of recent deaths; struct snipe_strike without an age */
 	guint told;	 /* of them, those that a report had */
 	guint repeated;	 /* counts the repetitions */
 	int64_t death_us;
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -30,6 +30,9 @@
 #define STOP_IDLE_US 200000
 /* Requests that were found innocent are reported for this long, against lost reports. */
 #define CLEARED_REPORT_US 3000000
+/* Interval at which a report tells of one suspect request: reports have little room beside the
+ * rates, and other nodes tell of it as well. */
+#define SUSPECT_TELL_US 1000000
 /* Interval of the steps of a stop and of flushing the log; short against the times above. */
 #define TICK_US 100000
 /* Interval at which the settings file is looked at: changes have two seconds to be in force. */
@@ -64,6 +67,7 @@
 	int64_t stop_us; /* when the stop began; 0: it did not */
 	int64_t idle_us; /* since when nothing has been in flight; 0: something is */
 	int64_t settings_stamp, settings_checked_us;
+	int64_t suspects_told_us;
 	int was_ready;
 };
 
@@ -260,6 +264,18 @@
 	snipe_sync_offer(&g->sync, from, version);
 }
 
+static void tell_suspects(struct gateway *g, int64_t now_us, struct snipe_node_report *report)
+{
+	int room = SNIPE_REPORT_MAX_STRIKES - report->strike_count;
+
+	if (now_us - g->suspects_told_us < SUSPECT_TELL_US)
+		return;
+	g->suspects_told_us = now_us;
+	report->strike_count += snipe_crash_guard_tell(&g->guard, now_us,
+						       report->strikes + report->strike_count,
+						       MIN(room, SNIPE_CRASH_STRIKES_TOLD));
+}
+
 static void on_fill_report(void *arg, int64_t now_us, struct snipe_node_report *report)
 {
 	struct gateway *g = arg;
@@ -269,6 +285,7 @@
 	snipe_gate_fill_report(&g->gate, now_us, report);
 	if (snipe_gate_has_news(&g->gate))
 		snipe_directory_publish(&g->directory);
+	tell_suspects(g, now_us, report);
 	report->cleared_count = snipe_crash_guard_cleared(&g->guard, now_us - CLEARED_REPORT_US,
 							  report->cleared, SNIPE_CRASH_CLEARED);
 	report->quota_count = snipe_fleet_quota_report(&g->entry.quota, now_us, report->quotas,
@@ -293,8 +310,7 @@
 	snipe_fleet_quota_peer(&g->entry.quota, now_us, snipe_hash64_str(r->node_id),
 			       r->process, r->quotas, r->quota_count);
 	for (int i = 0; i < r->strike_count; i++)
-		if (snipe_crash_guard_strike(&g->guard, now_us, r->strikes[i].fingerprint,
-					     r->strikes[i].death))
+		if (snipe_crash_guard_told(&g->guard, now_us, &r->strikes[i]))
 			snipe_gate_log_strike(&g->guard, r->strikes[i].fingerprint,
 					      r->strikes[i].death, r->node_id);
 	for (int i = 0; i < r->cleared_count; i++)
--- a/libs/wire/report.c
+++ b/libs/wire/report.c
@@ -31,10 +31,11 @@
 	msgpack_pack_int(&pk, r->waiting);
 	msgpack_pack_int64(&pk, r->service_us);
 	msgpack_pack_int64(&pk, r->cold_left_us);
-	msgpack_pack_array(&pk, (size_t)r->strike_count * 2);
+	msgpack_pack_array(&pk, (size_t)r->strike_count * 3);
 	for (int i = 0; i < r->strike_count; i++) {
 		msgpack_pack_uint64(&pk, r->strikes[i].fingerprint);
 		msgpack_pack_uint64(&pk, r->strikes[i].death);
+		msgpack_pack_int64(&pk, r->strikes[i].age_us);
 	}
 	msgpack_pack_array(&pk, (size_t)r->cleared_count);
 	for (int i = 0; i < r->cleared_count; i++)
@@ -61,10 +62,11 @@
 {
 	struct snipe_reader list;
 
-	r->strike_count = begin_list(in, &list, 2, SNIPE_REPORT_MAX_STRIKES);
+	r->strike_count = begin_list(in, &list, 3, SNIPE_REPORT_MAX_STRIKES);
 	for (int i = 0; i < r->strike_count; i++) {
 		r->strikes[i].fingerprint = snipe_read_uint(&list);
 		r->strikes[i].death = snipe_read_uint(&list);
+		r->strikes[i].age_us = snipe_read_int(&list);
 	}
 	in->error |= list.error;
 	r->cleared_count = begin_list(in, &list, 1, SNIPE_CRASH_CLEARED);
--- a/libs/wire/report.h
+++ b/libs/wire/report.h
@@ -18,7 +18,7 @@
 #endif
 
 /* Rises with each change of the fields; other versions are refused. */
-#define SNIPE_REPORT_VERSION 2
+#define SNIPE_REPORT_VERSION 3
 /* Keeps a datagram below the path MTU of 1,500 bytes. */
 #define SNIPE_REPORT_MAX_BYTES 1400
 #define SNIPE_REPORT_MAX_QUOTAS 80
@@ -30,12 +30,6 @@
 	SNIPE_SERVER_DRAINING,
 };
 
-/* A request that ran when a backend server died. */
-struct snipe_strike {
-	uint64_t fingerprint;
-	uint64_t death; /* tells deaths apart */
-};
-
 struct snipe_node_report {
 	char node_id[SNIPE_NAME_SIZE];
 	uint64_t process; /* wall time of the process start in ms; a later process is newer */
@@ -51,7 +45,8 @@
 	int waiting;
 	int64_t service_us;   /* mean time that a call runs */
 	int64_t cold_left_us; /* how much longer the server is slow after its start */
-	struct snipe_strike strikes[SNIPE_REPORT_MAX_STRIKES]; /* of recent deaths */
+	struct snipe_strike strikes[SNIPE_REPORT_MAX_STRIKES]; /* of recent deaths, and of
+								  suspects in turn */
 	int strike_count;
 	uint64_t cleared[SNIPE_CRASH_CLEARED]; /* requests that ended well after strikes */
 	int cleared_count;
--- a/tests/core/crash_guard_test.cc
+++ b/tests/core/crash_guard_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <set>
 
 #include "core/crash_guard.h"
 
@@ -127,6 +128,67 @@
 	EXPECT_TRUE(snipe_crash_guard_is_suspect(&g, 2000, 5)) << "there is always room";
 }
 
+// Guards against a node that started after the servers died and sends the request on.
+TEST_F(CrashGuard, ANodeThatWasAwayLearnsOfSuspects)
+{
+	struct snipe_crash_guard late;
+	struct snipe_strike told[SNIPE_CRASH_STRIKES_TOLD];
+	int64_t now = 100000000;
+
+	snipe_crash_guard_init(&late);
+	snipe_crash_guard_strike(&g, 1000000, 5, 9);
+	EXPECT_EQ(snipe_crash_guard_tell(&g, now, told, SNIPE_CRASH_STRIKES_TOLD), 0)
+		<< "one strike is no suspect";
+	for (uint64_t death = 1; death <= 3; death++)
+		snipe_crash_guard_strike(&g, 2000000, 7, death);
+	ASSERT_EQ(snipe_crash_guard_tell(&g, now, told, SNIPE_CRASH_STRIKES_TOLD), 3);
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(snipe_crash_guard_told(&late, now + 50, &told[i]));
+	EXPECT_TRUE(snipe_crash_guard_is_suspect(&late, now, 7));
+	// It tries and forgets the request when the others do.
+	EXPECT_EQ(snipe_crash_guard_trial_due(&late, 7),
+		  snipe_crash_guard_trial_due(&g, 7) + 50);
+	EXPECT_FALSE(snipe_crash_guard_is_suspect(&late, 602000050, 7));
+	// What is told again changes nothing, also after a success.
+	snipe_crash_guard_success(&late, now, 7);
+	for (int i = 0; i < 3; i++)
+		EXPECT_FALSE(snipe_crash_guard_told(&late, now + 60, &told[i]));
+	EXPECT_FALSE(snipe_crash_guard_is_suspect(&late, now, 7));
+}
+
+TEST_F(CrashGuard, EverySuspectIsToldInTurn)
+{
+	struct snipe_strike told[SNIPE_CRASH_STRIKES_TOLD];
+	std::set<uint64_t> seen;
+
+	for (uint64_t f = 1; f <= 20; f++)
+		for (uint64_t death = 1; death <= 2 + f % 5; death++)
+			snipe_crash_guard_strike(&g, 0, f * 1000, death);
+	for (int i = 0; i < 20; i++) {
+		int n = snipe_crash_guard_tell(&g, 1000, told, SNIPE_CRASH_STRIKES_TOLD);
+
+		ASSERT_GE(n, 2);
+		for (int k = 0; k < n; k++)
+			seen.insert(told[k].fingerprint);
+	}
+	EXPECT_EQ(seen.size(), 20u);
+}
+
+TEST_F(CrashGuard, ALateReportOfAnOldStrikeAllowsNoOtherTrial)
+{
+	struct snipe_strike old = {7, 3, 10000000};
+
+	snipe_crash_guard_strike(&g, 100000000, 7, 1);
+	snipe_crash_guard_strike(&g, 100000000, 7, 2);
+	EXPECT_TRUE(snipe_crash_guard_try(&g, 106000000, 7, 0));
+	EXPECT_TRUE(snipe_crash_guard_told(&g, 106000000, &old));
+	EXPECT_FALSE(snipe_crash_guard_try(&g, 500000000, 7, 0));
+	old = {7, 4, 600000000};
+	EXPECT_FALSE(snipe_crash_guard_told(&g, 700000000, &old)) << "outdated";
+	old = {7, 4, -1};
+	EXPECT_FALSE(snipe_crash_guard_told(&g, 700000000, &old)) << "no age";
+}
+
 TEST_F(CrashGuard, FingerprintCoversEveryField)
 {
 	auto of = [](const char *host, const char *caller, const char *method, const char *path,
--- a/tests/wire/report_test.cc
+++ b/tests/wire/report_test.cc
@@ -26,7 +26,7 @@
 	r.waiting = 3;
 	r.service_us = 25000;
 	r.cold_left_us = 1500000;
-	r.strikes[0] = {11, 12};
+	r.strikes[0] = {11, 12, 13};
 	r.strike_count = 1;
 	r.cleared[0] = 13;
 	r.cleared[1] = UINT64_MAX;
@@ -61,6 +61,7 @@
 	ASSERT_EQ(out.strike_count, 1);
 	EXPECT_EQ(out.strikes[0].fingerprint, 11u);
 	EXPECT_EQ(out.strikes[0].death, 12u);
+	EXPECT_EQ(out.strikes[0].age_us, 13);
 	ASSERT_EQ(out.cleared_count, 2);
 	EXPECT_EQ(out.cleared[0], 13u);
 	EXPECT_EQ(out.cleared[1], UINT64_MAX);
