Keep suspect requests in the store

Cause: strikes were kept in processes only. The store, which holds what must last, had none of them.

Change: one object of the fleet, kind gateway-suspects, has the latest 64 suspects with the deaths that count and the time of the last strike. Each process but those of the first start reads it at its start, by one call, and does not wait for it.

--- a/libs/core/crash_guard.c
+++ b/libs/core/crash_guard.c
@@ -1,8 +1,10 @@
 #include "core/crash_guard.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <string.h>
 
+#include "base/error.h"
 #include "base/hash.h"
 
 /* One death has many possible causes, two in which the same request ran are few. */
@@ -17,6 +19,8 @@
 /* Time for the trial of one node to show in the reports to the others, lost reports included.
  */
 #define TRIAL_TURN_US 5000000
+/* Suspects of a text: a few requests, and those that ran beside them on popular servers. */
+#define MAX_PRINTED 64
 #define WAYS 8 /* entries in which a fingerprint can be */
 #define SETS (SNIPE_CRASH_GUARD_ENTRIES / WAYS)
 
@@ -114,6 +118,22 @@
 		e->last_strike_us = now_us;
 		e->has_tried = 0;
 	}
+	if (e->is_own && e->strikes >= STRIKES_TO_SUSPECT)
+		g->changes++;
+	return 1;
+}
+
+int snipe_crash_guard_witness(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint,
+			      uint64_t death)
+{
+	struct snipe_crash_entry *e;
+
+	if (!snipe_crash_guard_strike(g, now_us, fingerprint, death))
+		return 0;
+	e = find_entry(g, fingerprint);
+	if (!e->is_own && e->strikes >= STRIKES_TO_SUSPECT)
+		g->changes++;
+	e->is_own = 1;
 	return 1;
 }
 
@@ -176,10 +196,95 @@
 	return 1;
 }
 
+unsigned snipe_crash_guard_changes(const struct snipe_crash_guard *g)
+{
+	return g->changes;
+}
+
+static void print_entry(const struct snipe_crash_entry *e, int64_t now_us, int64_t wall_ms,
+			struct snipe_buffer *out)
+{
+	struct snipe_strike strikes[SNIPE_CRASH_STRIKES_TOLD];
+	int n = list_strikes(e, now_us, strikes);
+
+	snipe_buffer_printf(out, "%016" PRIx64 " %" PRId64, e->fingerprint,
+			    wall_ms - (now_us - e->last_strike_us) / 1000);
+	for (int i = 0; i < n; i++)
+		snipe_buffer_printf(out, " %016" PRIx64, strikes[i].death);
+	snipe_buffer_printf(out, "\n");
+}
+
+void snipe_crash_guard_print(const struct snipe_crash_guard *g, int64_t now_us, int64_t wall_ms,
+			     struct snipe_buffer *out)
+{
+	const struct snipe_crash_entry *latest[MAX_PRINTED];
+	int n = 0;
+
+	for (int i = 0; i < SNIPE_CRASH_GUARD_ENTRIES; i++) {
+		const struct snipe_crash_entry *e = &g->entries[i];
+		int at;
+
+		if (!is_suspect(e, now_us))
+			continue;
+		for (at = n; at > 0 && latest[at - 1]->last_strike_us < e->last_strike_us; at--)
+			if (at < MAX_PRINTED)
+				latest[at] = latest[at - 1];
+		if (at < MAX_PRINTED)
+			latest[at] = e;
+		n = MIN(n + 1, MAX_PRINTED);
+	}
+	for (int i = 0; i < n; i++)
+		print_entry(latest[i], now_us, wall_ms, out);
+}
+
+/* Returns the number of strikes of a line that were counted, or SNIPE_ERR_SYNTAX. */
+static int load_line(struct snipe_crash_guard *g, int64_t now_us, int64_t wall_ms,
+		     const char *line)
+{
+	struct snipe_strike s;
+	int64_t at_ms;
+	char *end;
+	int n = 0;
+
+	s.fingerprint = g_ascii_strtoull(line, &end, 16);
+	if (end == line || s.fingerprint == 0)
+		return SNIPE_ERR_SYNTAX;
+	line = end;
+	at_ms = g_ascii_strtoll(line, &end, 10);
+	if (end == line || at_ms < 0)
+		return SNIPE_ERR_SYNTAX;
+	/* Clocks differ between machines. */
+	s.age_us = MAX(wall_ms - at_ms, 0) * 1000;
+	for (line = end; *line; line = end) {
+		s.death = g_ascii_strtoull(line, &end, 16);
+		if (end == line)
+			return SNIPE_ERR_SYNTAX;
+		n += snipe_crash_guard_told(g, now_us, &s);
+	}
+	return n;
+}
+
+int snipe_crash_guard_load(struct snipe_crash_guard *g, int64_t now_us, int64_t wall_ms,
+			   const char *text, size_t len)
+{
+	char *copy = g_strndup(text, len), **lines = g_strsplit(copy, "\n", -1);
+	int n = 0, ret = 0;
+
+	for (int i = 0; lines[i] && ret >= 0; i++) {
+		ret = *lines[i] ? load_line(g, now_us, wall_ms, lines[i]) : 0;
+		n += MAX(ret, 0);
+	}
+	g_strfreev(lines);
+	g_free(copy);
+	return ret < 0 ? ret : n;
+}
+
 int snipe_crash_guard_success(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint)
 {
 	struct snipe_crash_cleared *oldest = &g->cleared[0];
 
+	if (snipe_crash_guard_is_suspect(g, now_us, fingerprint))
+		g->changes++;
 	if (!snipe_crash_guard_clear(g, fingerprint))
 		return 0;
 	for (int i = 0; i < SNIPE_CRASH_CLEARED; i++)
--- a/libs/core/crash_guard.h
+++ b/libs/core/crash_guard.h
@@ -13,6 +13,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/buffer.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -43,12 +45,14 @@
 		int strikes;
 		int64_t last_strike_us;
 		int has_tried; /* a trial ran here since the last strike */
+		int is_own;    /* a server died beside this node */
 	} entries[SNIPE_CRASH_GUARD_ENTRIES];
 	struct snipe_crash_cleared {
 		uint64_t fingerprint; /* 0: free */
 		int64_t at_us;
 	} cleared[SNIPE_CRASH_CLEARED]; /* by successes that this node saw */
 	int next_told;			/* index of the suspect that is told next */
+	unsigned changes;
 };
 
 void snipe_crash_guard_init(struct snipe_crash_guard *g);
@@ -76,6 +80,9 @@
 int snipe_crash_guard_strike(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint,
 			     uint64_t death);
 
+/* The same for a server beside this node. */
+int snipe_crash_guard_witness(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint,
+			      uint64_t death);
 /* Another node tells of a strike, maybe long after it. Returns 1 if it was counted. */
 int snipe_crash_guard_told(struct snipe_crash_guard *g, int64_t now_us,
 			   const struct snipe_strike *strike);
@@ -84,6 +91,18 @@
 int snipe_crash_guard_tell(struct snipe_crash_guard *g, int64_t now_us,
 			   struct snipe_strike *strikes, int max);
 
+/* Counts the changes of suspects that this node has to keep for later processes: strikes of
+ * those that ended a server beside it, and successes that it saw. */
+unsigned snipe_crash_guard_changes(const struct snipe_crash_guard *g);
+/* Appends the suspects as text, a line each, the latest ones if there are many. wall_ms is the
+ * time of day in ms. */
+void snipe_crash_guard_print(const struct snipe_crash_guard *g, int64_t now_us, int64_t wall_ms,
+			     struct snipe_buffer *out);
+/* Takes over what such a text tells. Returns the number of strikes that were counted, or
+ * SNIPE_ERR_SYNTAX; the lines before the malformed one count then. */
+int snipe_crash_guard_load(struct snipe_crash_guard *g, int64_t now_us, int64_t wall_ms,
+			   const char *text, size_t len);
+
 /* A request with this fingerprint ended here without a crash. Returns 1 if strikes were
  * cleared: then other nodes should be told. */
 int snipe_crash_guard_success(struct snipe_crash_guard *g, int64_t now_us,
--- a/libs/gateway/dialect.h
+++ b/libs/gateway/dialect.h
@@ -57,6 +57,7 @@
 	const char *tables_kind, *tables_name; /* object of the store with the tables */
 	const char *nodes_kind;		       /* objects of the store, one for each node */
 	const char *departures_kind;	       /* the same, of servers that left */
+	const char *suspects_kind;	       /* one object, of requests that crash servers */
 	const char *notice_reply;	       /* body of the acknowledgement */
 };
 
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -248,7 +248,7 @@
 {
 	struct snipe_strike strike = {fingerprint, g->death, 0};
 
-	if (!snipe_crash_guard_strike(g->config.guard, snipe_now_us(), fingerprint, g->death))
+	if (!snipe_crash_guard_witness(g->config.guard, snipe_now_us(), fingerprint, g->death))
 		return;
 	snipe_gate_log_strike(g->config.guard, fingerprint, g->death,
 			      g->config.settings->node_id);
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -13,6 +13,7 @@
 #include "gateway/directory.h"
 #include "gateway/entry.h"
 #include "gateway/gate.h"
+#include "gateway/suspect_log.h"
 #include "gateway/sync.h"
 #include "h1/server.h"
 #include "node/peer_task.h"
@@ -60,6 +61,7 @@
 	struct snipe_gate gate;
 	struct snipe_sync sync;
 	struct snipe_departure_log departures;
+	struct snipe_suspect_log suspects;
 	GPtrArray *held_notices; /* requests that wait until the departure is stored */
 	struct snipe_h1_server ready, admin, metrics;
 	struct event *sigterm, *sigint, *sighup, *tick, *ack_timer;
@@ -510,6 +512,7 @@
 			  (long long)((now - g->entry.confirmed_us) / 1000));
 	g->was_ready = ready;
 	snipe_counters_set(&g->counters, g->entry.gauge_in_flight, g->entry.in_flight);
+	snipe_suspect_log_update(&g->suspects);
 	if (g->stop_us)
 		continue_stop(g, now);
 	else
@@ -615,8 +618,22 @@
 	snipe_departure_log_init(&g->departures, &config);
 }
 
+static void init_suspects(struct gateway *g)
+{
+	struct snipe_suspect_log_config config = {
+		.base = g->base,
+		.store = g->store,
+		.guard = &g->guard,
+		.kind = g->host->dialect->suspects_kind,
+		.is_first_start = g->settings.is_first_start,
+	};
+
+	snipe_suspect_log_init(&g->suspects, &config);
+}
+
 static void finish(struct gateway *g)
 {
+	snipe_suspect_log_finish(&g->suspects);
 	snipe_departure_log_finish(&g->departures);
 	snipe_sync_finish(&g->sync);
 	snipe_entry_finish(&g->entry);
@@ -688,6 +705,7 @@
 			  settings->is_first_start);
 		init_sync(g);
 		init_departures(g);
+		init_suspects(g);
 		run_loop(g);
 		snipe_log(SNIPE_LOG_INFO, "stopped", "node=%s requests=%d gate_calls=%d",
 			  settings->node_id, snipe_entry_in_flight(&g->entry),
--- a/tests/core/crash_guard_test.cc
+++ b/tests/core/crash_guard_test.cc
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <set>
 
+#include "base/error.h"
 #include "core/crash_guard.h"
 
 namespace
@@ -174,6 +175,60 @@
 	EXPECT_EQ(seen.size(), 20u);
 }
 
+// Guards against a kept list that grows, or brings back what is outdated or was found harmless.
+TEST_F(CrashGuard, TheLatestSuspectsAreKeptAsText)
+{
+	struct snipe_crash_guard other;
+	struct snipe_buffer text;
+
+	snipe_buffer_init(&text);
+	snipe_crash_guard_init(&other);
+	for (uint64_t f = 1; f <= 100; f++)
+		for (uint64_t death = 1; death <= 2; death++)
+			snipe_crash_guard_strike(&g, (int64_t)(f * 1000000), f,
+						 1000 * f + death);
+	snipe_crash_guard_strike(&g, 101000000, 101, 1);
+	snipe_crash_guard_print(&g, 110000000, 5000000, &text);
+	EXPECT_EQ(snipe_crash_guard_load(&other, 7000000000, 5010000, text.data, text.len),
+		  2 * 64);
+	EXPECT_TRUE(snipe_crash_guard_is_suspect(&other, 7000000000, 100));
+	EXPECT_TRUE(snipe_crash_guard_is_suspect(&other, 7000000000, 37));
+	EXPECT_FALSE(snipe_crash_guard_is_suspect(&other, 7000000000, 36));
+	EXPECT_FALSE(snipe_crash_guard_is_suspect(&other, 7000000000, 101));
+	// 10 s before the text was written, 10 s until it was read.
+	EXPECT_EQ(snipe_crash_guard_trial_due(&other, 100), 7000000000 - 20000000 + 5000000);
+	EXPECT_EQ(snipe_crash_guard_load(&other, 7000000000, 5010000, text.data, text.len), 0)
+		<< "known deaths";
+	EXPECT_EQ(snipe_crash_guard_changes(&other), 0u) << "nothing to write";
+	snipe_crash_guard_init(&other);
+	EXPECT_EQ(snipe_crash_guard_load(&other, 7000000000, 5000000 + 640000, text.data,
+					 text.len),
+		  0)
+		<< "outdated";
+	for (const char *bad : {"x 1 2", "5", "5 x", "5 -1 2", "0 1 2", "5 1 2 x"})
+		EXPECT_EQ(snipe_crash_guard_load(&other, 0, 1, bad, strlen(bad)),
+			  SNIPE_ERR_SYNTAX)
+			<< bad;
+	snipe_buffer_finish(&text);
+}
+
+TEST_F(CrashGuard, WhatANodeHasToKeepIsCounted)
+{
+	snipe_crash_guard_strike(&g, 0, 7, 1);
+	snipe_crash_guard_strike(&g, 0, 7, 2);
+	EXPECT_EQ(snipe_crash_guard_changes(&g), 0u) << "the nodes beside the servers write";
+	snipe_crash_guard_witness(&g, 0, 8, 1);
+	EXPECT_EQ(snipe_crash_guard_changes(&g), 0u) << "one strike is no suspect";
+	snipe_crash_guard_strike(&g, 0, 8, 2);
+	EXPECT_EQ(snipe_crash_guard_changes(&g), 1u) << "the other death was told";
+	snipe_crash_guard_witness(&g, 0, 8, 3);
+	EXPECT_EQ(snipe_crash_guard_changes(&g), 2u);
+	snipe_crash_guard_success(&g, 0, 7);
+	EXPECT_EQ(snipe_crash_guard_changes(&g), 3u);
+	snipe_crash_guard_success(&g, 0, 7);
+	EXPECT_EQ(snipe_crash_guard_changes(&g), 3u);
+}
+
 TEST_F(CrashGuard, ALateReportOfAnOldStrikeAllowsNoOtherTrial)
 {
 	struct snipe_strike old = {7, 3, 10000000};
--- a/tests/support/gateway.h
+++ b/tests/support/gateway.h
@@ -18,6 +18,7 @@
 	"main",
 	"nodes",
 	"departures",
+	"suspects",
 	"{}",
 };
 
