Refuse requests that became suspect while they waited at a gate

Change: the check is repeated before a call is sent.

ARequestThatBecameSuspectWhileItWaitedIsRefused failed before.

--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -433,7 +433,14 @@
 	event_add(&call->timer, &tv);
 }
 
-/* Sends a call that the queue counts as running. */
+static int is_refused_suspect(const struct snipe_gate_call *call)
+{
+	return !call->is_trial &&
+	       snipe_crash_guard_is_suspect(call->gate->config.guard, snipe_now_us(),
+					    call->fingerprint);
+}
+
+/* Sends a call that the queue counts as running. It may have become suspect while it waited. */
 static void run(struct snipe_gate_call *call)
 {
 	struct snipe_gate *g = call->gate;
@@ -443,6 +450,10 @@
 
 	call->started_us = now;
 	snipe_histogram_add(&g->wait, (uint64_t)(now - call->received_us));
+	if (is_refused_suspect(call)) {
+		fail_call(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_CRASH_SUSPECT, 0);
+		return;
+	}
 	if (left_us < LEAST_RUN_US) {
 		fail_call(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_EXPIRED, 0);
 		return;
@@ -580,8 +591,7 @@
 	snipe_counters_add(g->config.counters, g->count_received, 1);
 	if (!reason && strcmp(m->pool, g->server.service) != 0)
 		reason = SNIPE_GATE_NO_SERVER;
-	if (!reason && !m->is_trial &&
-	    snipe_crash_guard_is_suspect(g->config.guard, now, m->fingerprint))
+	if (!reason && is_refused_suspect(call))
 		reason = SNIPE_GATE_CRASH_SUSPECT;
 	if (!reason && was_paused(g, now))
 		reason = SNIPE_GATE_EXPIRED;
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -609,6 +609,31 @@
 	EXPECT_EQ(r.strikes[0].fingerprint, 99u);
 }
 
+TEST_F(Gate, ARequestThatBecameSuspectWhileItWaitedIsRefused)
+{
+	Answer running, waiting, trial;
+
+	notice("i-1", SNIPE_SERVER_READY, 1, 1000, 1);
+	call(running, true, "a", 5000000, 3000000, 5);
+	Socket *s = request();
+	ASSERT_TRUE(s);
+	call(waiting, true, "b", 5000000, 3000000, 99);
+	call(trial, true, "c", 5000000, 3000000, 99, true);
+	ASSERT_TRUE(loop.until([&] { return gate.queue.count == 2; }));
+	snipe_crash_guard_strike(&guard, snipe_now_us(), 99, 1);
+	snipe_crash_guard_strike(&guard, snipe_now_us(), 99, 2);
+	respond(s);
+	ASSERT_TRUE(answered(waiting));
+	EXPECT_EQ(waiting.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(waiting.reason, SNIPE_GATE_CRASH_SUSPECT);
+	EXPECT_FALSE(waiting.arrived);
+	s = request();
+	ASSERT_TRUE(s) << "the slot is free for the next one";
+	respond(s);
+	ASSERT_TRUE(answered(trial));
+	EXPECT_EQ(trial.status, 200);
+}
+
 // Guards against a request that goes on crashing servers because only some of those that ran
 // beside it are remembered, or reported.
 TEST_F(Gate, EachRequestThatRanWhenAServerDiedGetsAStrike)
