--- a/libs/core/crash_guard.c
+++ b/libs/core/crash_guard.c
@@ -217,7 +217,7 @@
 void snipe_crash_guard_print(const struct snipe_crash_guard *g, int64_t now_us, int64_t wall_ms,
 			     struct snipe_buffer *out)
 {
-	const struct snipe_crash_entry *latest[MAX_PRINTED];
+	const struct snipe_crash_entry *latest[MAX_PRINTED] = {NULL};
 	int n = 0;
 
 	for (int i = 0; i < SNIPE_CRASH_GUARD_ENTRIES; i++) {
