Test that bytes without end from a server are cut off

A server in trouble may send bytes that are no answer until the caller closes, in a head or a body. No fault was found: garbage, endless fields, chunks, chunk parameters, trailers and bodies with and without a length all end at the limits of the pool, and the connection is closed.

--- a/tests/h1/pool_test.cc
+++ b/tests/h1/pool_test.cc
@@ -254,3 +254,44 @@
 	EXPECT_EQ(c.body, "ok");
 	EXPECT_EQ(t.p.connection_count, 0);
 }
+
+// Guards against a server that sends bytes until the caller closes.
+TEST(H1Pool, BytesWithoutEndAreCutOff)
+{
+	const std::pair<std::string, std::string> cases[] = {
+		{"", "x"},
+		{"HTTP/1.1 200 OK\r\nX: ", "x"},
+		{"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+		{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+	};
+
+	for (const auto &c : cases) {
+		Pool t;
+		Call call;
+		std::string more;
+		size_t sent = 0;
+
+		t.p.max_body_bytes = 1000000;
+		for (int i = 0; i < 5000; i++)
+			more += c.second;
+		t.start(call);
+		ASSERT_TRUE(t.accepted());
+		t.server.send_text(c.first);
+		EXPECT_TRUE(t.loop.until([&] {
+			// A part of a piece may be sent: the next one goes on in its place.
+			ssize_t n = send(t.server.fd, more.data() + sent % more.size(),
+					 more.size() - sent % more.size(), MSG_NOSIGNAL);
+
+			sent += n > 0 ? (size_t)n : 0;
+			return call.done > 0;
+		})) << c.first
+		    << c.second;
+		EXPECT_TRUE(call.result == SNIPE_H1_BROKEN || call.result == SNIPE_H1_TOO_LARGE)
+			<< c.first << c.second;
+		EXPECT_EQ(t.p.connection_count, 0) << c.first << c.second;
+	}
+}
