Read the store after a failed fetch only while newer tables are missing

A fetch that failed after its tables had come in another way left the node reading the store for itself until the next version, found by reading the change. The node now remembers which version it missed.

AFetchThatFailsAfterTheTablesCameChangesNothing failed before.

--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -48,6 +48,17 @@
 		  (long long)(s->lost_us ? (now - s->lost_us) / 1000 : -1));
 }
 
+static uint64_t held_version(const struct snipe_sync *s)
+{
+	return s->routing ? s->routing->version : 0;
+}
+
+/* Newer tables exist, and could not be fetched from the node that told of them. */
+static int is_behind(const struct snipe_sync *s)
+{
+	return s->missed_version > held_version(s);
+}
+
 /* Milliseconds since the tables held were known to be the newest; -1: never. */
 static long long confirmed_age_ms(const struct snipe_sync *s)
 {
@@ -106,14 +117,12 @@
 		snipe_routing_unref(routing);
 		return 0;
 	}
-	s->fetch_failed = 0;
 	snipe_log(SNIPE_LOG_INFO, "tables_in_force",
 		  "version=%llx before=%llx source=%s routes=%d services=%d workspaces=%d "
 		  "confirmed_age_ms=%lld",
-		  (unsigned long long)routing->version,
-		  (unsigned long long)(s->routing ? s->routing->version : 0), source,
-		  routing->route_count, routing->service_count, routing->workspace_count,
-		  confirmed_age_ms(s));
+		  (unsigned long long)routing->version, (unsigned long long)held_version(s),
+		  source, routing->route_count, routing->service_count,
+		  routing->workspace_count, confirmed_age_ms(s));
 	snipe_routing_unref(s->routing);
 	s->routing = routing;
 	s->config.tables(s->config.arg, routing);
@@ -125,7 +134,7 @@
 static void retry_tables(struct snipe_sync *s, int reads)
 {
 	int is_urgent = snipe_directory_is_reader(s->config.directory) || !s->routing ||
-			s->fetch_failed || reads == 1;
+			is_behind(s) || reads == 1;
 
 	set_timer(&s->retry, is_urgent ? snipe_backoff_us(s->rng, reads) : ALONE_PAUSE_US);
 }
@@ -182,7 +191,7 @@
 			  "confirmed_age_ms=%lld store_failures=%d", confirmed_age_ms(s),
 			  s->failures);
 	s->was_alone = is_alone;
-	return is_alone || s->fetch_failed || snipe_directory_is_reader(s->config.directory);
+	return is_alone || is_behind(s) || snipe_directory_is_reader(s->config.directory);
 }
 
 static void read_tables(struct snipe_sync *s)
@@ -321,11 +330,6 @@
 		register_node(s);
 }
 
-static uint64_t held_version(const struct snipe_sync *s)
-{
-	return s->routing ? s->routing->version : 0;
-}
-
 static void on_fetched(void *arg, int err, const struct snipe_message *reply, const char *body,
 		       size_t body_len)
 {
@@ -342,9 +346,9 @@
 			  snipe_error_name(err),
 			  (long long)((snipe_now_us() - s->fetched_us) / 1000),
 			  (unsigned long long)held_version(s));
-		/* Newer tables are known to exist; the way to the store may be better. */
-		s->fetch_failed = 1;
-		if (!s->handle)
+		/* The way to the store may be better. */
+		s->missed_version = s->offered_version;
+		if (is_behind(s) && !s->handle)
 			set_timer(&s->retry, 0);
 		return;
 	}
@@ -361,6 +365,7 @@
 	if (s->fetch || version <= held_version(s) || now - s->fetched_us < FETCH_PAUSE_US)
 		return;
 	s->fetched_us = now;
+	s->offered_version = version;
 	snipe_log(SNIPE_LOG_INFO, "tables_offered",
 		  "version=%llx held=%llx from=%s:%u confirmed_age_ms=%lld",
 		  (unsigned long long)version, (unsigned long long)held_version(s), from->ip,
--- a/libs/gateway/sync.h
+++ b/libs/gateway/sync.h
@@ -67,7 +67,8 @@
 	/* tables from another node */
 	uint64_t fetch;
 	int64_t fetched_us;
-	int fetch_failed; /* newer tables are known to exist and could not be fetched */
+	uint64_t offered_version; /* that the last fetch was to bring */
+	uint64_t missed_version;  /* the same of the last fetch that failed */
 	int count_reads, count_read_errors, count_writes, gauge_reachable;
 };
 
--- a/tests/gateway/sync_test.cc
+++ b/tests/gateway/sync_test.cc
@@ -339,6 +339,25 @@
 	EXPECT_EQ(store.of("config").size(), reads + 1) << "it goes on as before";
 }
 
+// Guards against a node that goes on reading for good because it could not fetch what it has
+// got in another way.
+TEST_F(Sync, AFetchThatFailsAfterTheTablesCameChangesNothing)
+{
+	Listener silent;
+
+	answer(0, 7, "v3");
+	expect_read(2, "watch", 7);
+	snipe_sync_offer(&sync, &silent.address, 4);
+	answer(0, 8, "v4");
+	expect_read(3, "watch", 8);
+	stop_reading();
+	size_t reads = store.of("config").size();
+	until_beside_others(
+		[&, end = snipe_now_us() + 2000000] { return snipe_now_us() > end; });
+	EXPECT_EQ(sync.fetch, 0u);
+	EXPECT_EQ(store.of("config").size(), reads);
+}
+
 // Guards against a node that is alone with old tables for longer than tables may take to be in
 // force, because one call failed.
 TEST_F(Sync, ANodeThatReadsAloneTriesAgainSoonAfterTheFirstFailure)
