Do not report at once for strikes that are no longer reported

While strikes had not been in a report, the next report followed after 10 ms. Strikes are reported for 3 s after a death: a node that stood still for that time had some that never got into a report, and would have reported without a pause until the next death. Found by reading the change.

EachRequestThatRanWhenAServerDiedGetsAStrike checks it; the question takes the time now.

--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -814,9 +814,14 @@
 	return g->in_flight;
 }
 
-int snipe_gate_has_news(const struct snipe_gate *g)
+static int reports_strikes(const struct snipe_gate *g, int64_t now_us)
 {
-	return g->told < g->strikes->len;
+	return now_us - g->death_us <= STRIKE_REPORT_US;
+}
+
+int snipe_gate_has_news(const struct snipe_gate *g, int64_t now_us)
+{
+	return g->told < g->strikes->len && reports_strikes(g, now_us);
 }
 
 /* A report has room for some strikes: each is repeated in turn, against lost reports. */
@@ -824,7 +829,7 @@
 {
 	guint n = MIN(g->strikes->len, SNIPE_REPORT_MAX_STRIKES);
 
-	if (now_us - g->death_us > STRIKE_REPORT_US)
+	if (!reports_strikes(g, now_us))
 		return;
 	for (guint i = 0; i < n; i++) {
 		guint at =
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -102,8 +102,8 @@
 /* Fills the server's part of the node's report. Strikes that no report had yet come first. */
 void snipe_gate_fill_report(struct snipe_gate *g, int64_t now_us,
 			    struct snipe_node_report *report);
-/* Nonzero if there are strikes that no report had yet. */
-int snipe_gate_has_news(const struct snipe_gate *g);
+/* Nonzero if there are strikes that no report had yet and the next one will have. */
+int snipe_gate_has_news(const struct snipe_gate *g, int64_t now_us);
 /* Logs a strike that was counted; node_id is the node beside the server that died. */
 void snipe_gate_log_strike(const struct snipe_crash_guard *guard, uint64_t fingerprint,
 			   uint64_t death, const char *node_id);
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -285,7 +285,7 @@
 	g->entry.quota.interval_us = snipe_directory_interval_us(&g->directory);
 	report->routing_version = g->routing ? g->routing->version : 0;
 	snipe_gate_fill_report(&g->gate, now_us, report);
-	if (snipe_gate_has_news(&g->gate))
+	if (snipe_gate_has_news(&g->gate, now_us))
 		snipe_directory_publish(&g->directory);
 	tell_suspects(g, now_us, report);
 	report->cleared_count = snipe_crash_guard_cleared(&g->guard, now_us - CLEARED_REPORT_US,
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -664,7 +664,9 @@
 		snipe_crash_guard_view(&guard, 1000 + f, &v);
 		EXPECT_EQ(v.strikes, 1) << f;
 	}
-	for (int i = 0; snipe_gate_has_news(&gate) && i < 10; i++) {
+	// A node that stood still meanwhile must not send reports without end.
+	EXPECT_FALSE(snipe_gate_has_news(&gate, snipe_now_us() + 10000000));
+	for (int i = 0; snipe_gate_has_news(&gate, snipe_now_us()) && i < 10; i++) {
 		struct snipe_node_report r = {};
 
 		snipe_gate_fill_report(&gate, snipe_now_us(), &r);
