Share the reading and writing of kept objects

suspect_log repeated the loop of departure_log: read once, write under a condition, read again after a conflict or a lost answer, repeat with pauses. The loop is now kept_object; the two logs say what is read, written and logged. departure_log reads when the version is not known, which is the same as its former condition: it is unknown before the first read and after a write that failed so.

The tests of both logs keep their assertions and pass, and so do the tests of leavings in process_platform_test.

--- a/libs/gateway/departure_log.h
+++ b/libs/gateway/departure_log.h
@@ -5,22 +5,15 @@
 #ifndef SNIPE_DEPARTURE_LOG_H
 #define SNIPE_DEPARTURE_LOG_H
 
-#include <event2/event_struct.h>
-#include <glib.h>
-
 #include "core/departure.h"
-#include "platform/object_store.h"
+#include "gateway/kept_object.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 struct snipe_departure_log_config {
-	struct event_base *base;
-	struct snipe_object_store *store;
-	const char *kind; /* of the objects, one for each node */
-	const char *node_id;
-	int is_first_start; /* the fleet has just been set up: there is nothing to read */
+	struct snipe_kept_object_config object; /* one for each node, by its name */
 	/* An earlier process of this node recorded this departure. */
 	void (*recalled)(void *arg, const struct snipe_departure *d);
 	/* Everything recorded so far is in the store. */
@@ -30,17 +23,10 @@
 
 /* Fields are private. */
 struct snipe_departure_log {
+	struct snipe_kept_object object; /* first member */
 	struct snipe_departure_log_config config;
-	GRand *rng;
-	struct event retry;
-	int handle;	  /* open call; 0: none */
-	uint64_t version; /* of the object; 0: there is none */
-	int is_version_known;
 	int is_recalled; /* what an earlier process recorded was read */
 	struct snipe_departure departure;
-	unsigned recorded; /* departures recorded, and of these the last one that is written */
-	unsigned sent, stored;
-	int failures; /* in a row */
 };
 
 void snipe_departure_log_init(struct snipe_departure_log *l,
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -180,7 +180,8 @@
 	(void)fd;
 	(void)what;
 	snipe_log(SNIPE_LOG_WARNING, "departure_acknowledged_unstored",
-		  "notices=%u store_failures=%d", g->held_notices->len, g->departures.failures);
+		  "notices=%u store_failures=%d", g->held_notices->len,
+		  g->departures.object.failures);
 	acknowledge_held(g);
 }
 
@@ -605,11 +606,14 @@
 static void init_departures(struct gateway *g)
 {
 	struct snipe_departure_log_config config = {
-		.base = g->base,
-		.store = g->store,
-		.kind = g->host->dialect->departures_kind,
-		.node_id = g->settings.node_id,
-		.is_first_start = g->settings.is_first_start,
+		.object =
+			{
+				.base = g->base,
+				.store = g->store,
+				.kind = g->host->dialect->departures_kind,
+				.name = g->settings.node_id,
+				.is_first_start = g->settings.is_first_start,
+			},
 		.recalled = on_departure_recalled,
 		.written = on_departure_written,
 		.arg = g,
@@ -620,15 +624,15 @@
 
 static void init_suspects(struct gateway *g)
 {
-	struct snipe_suspect_log_config config = {
+	struct snipe_kept_object_config config = {
 		.base = g->base,
 		.store = g->store,
-		.guard = &g->guard,
 		.kind = g->host->dialect->suspects_kind,
+		.name = SNIPE_SUSPECT_LOG_NAME,
 		.is_first_start = g->settings.is_first_start,
 	};
 
-	snipe_suspect_log_init(&g->suspects, &config);
+	snipe_suspect_log_init(&g->suspects, &g->guard, &config);
 }
 
 static void finish(struct gateway *g)
--- /dev/null
+++ b/libs/gateway/kept_object.c
@@ -0,0 +1,131 @@
+#include "gateway/kept_object.h"
+
+#include <event2/event.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "gateway/backoff.h"
+
+static void proceed(struct snipe_kept_object *o);
+
+int snipe_kept_object_is_writing(const struct snipe_kept_object *o)
+{
+	return o->stored != o->changes;
+}
+
+static void call_failed(struct snipe_kept_object *o, const char *call, int err)
+{
+	struct timeval tv = snipe_timeval(snipe_backoff_us(o->rng, o->failures));
+
+	if (o->failures++ == 0)
+		o->ops->failed(o, call, err);
+	event_add(&o->retry, &tv);
+}
+
+static void on_read(void *arg, int err, const struct snipe_object *object)
+{
+	struct snipe_kept_object *o = arg;
+
+	o->handle = 0;
+	if (err && err != SNIPE_ERR_NOT_FOUND) {
+		call_failed(o, "get", err);
+		return;
+	}
+	o->failures = 0;
+	o->version = err ? 0 : object->version;
+	o->is_version_known = 1;
+	o->ops->take(o, err ? NULL : object);
+	proceed(o);
+}
+
+static void on_written(void *arg, int err, const struct snipe_object *object)
+{
+	struct snipe_kept_object *o = arg;
+
+	o->handle = 0;
+	if (err == SNIPE_ERR_CONFLICT || err == SNIPE_ERR_UNKNOWN || err == SNIPE_ERR_NOT_FOUND)
+		o->is_version_known = 0;
+	if (err && err != SNIPE_ERR_CONFLICT) {
+		call_failed(o, "put", err);
+		return;
+	}
+	if (!err) {
+		o->failures = 0;
+		o->version = object->version;
+		o->stored = o->sent;
+		o->ops->stored(o);
+	}
+	proceed(o);
+}
+
+static void write_object(struct snipe_kept_object *o)
+{
+	struct snipe_object_store *store = o->config.store;
+	struct snipe_buffer text;
+
+	snipe_buffer_init(&text);
+	o->ops->print(o, &text);
+	o->sent = o->changes;
+	o->handle = store->ops->put(store, o->config.kind, o->config.name, o->version,
+				    snipe_buffer_str(&text), text.len, SNIPE_STORE_TIMEOUT_MS,
+				    on_written, o);
+	snipe_buffer_finish(&text);
+}
+
+/* Starts the call that is due, if none is open. */
+static void proceed(struct snipe_kept_object *o)
+{
+	struct snipe_object_store *store = o->config.store;
+
+	if (o->handle)
+		return;
+	if (!o->is_version_known)
+		o->handle = store->ops->get_once(store, o->config.kind, o->config.name,
+						 SNIPE_STORE_TIMEOUT_MS, on_read, o);
+	else if (snipe_kept_object_is_writing(o))
+		write_object(o);
+	if (o->handle < 0) {
+		int err = o->handle;
+
+		o->handle = 0;
+		call_failed(o, "start", err);
+	}
+}
+
+static void on_retry(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	proceed(arg);
+}
+
+void snipe_kept_object_init(struct snipe_kept_object *o,
+			    const struct snipe_kept_object_ops *ops,
+			    const struct snipe_kept_object_config *config)
+{
+	memset(o, 0, sizeof(*o));
+	o->ops = ops;
+	o->config = *config;
+	o->rng = g_rand_new();
+	o->is_version_known = config->is_first_start;
+	event_assign(&o->retry, config->base, -1, 0, on_retry, o);
+	proceed(o);
+}
+
+void snipe_kept_object_finish(struct snipe_kept_object *o)
+{
+	if (!o->rng)
+		return;
+	if (o->handle)
+		o->config.store->ops->cancel(o->config.store, o->handle);
+	event_del(&o->retry);
+	g_rand_free(o->rng);
+}
+
+void snipe_kept_object_changed(struct snipe_kept_object *o)
+{
+	o->changes++;
+	if (!event_pending(&o->retry, EV_TIMEOUT, NULL))
+		proceed(o);
+}
--- a/tests/gateway/departure_log_test.cc
+++ b/tests/gateway/departure_log_test.cc
@@ -25,11 +25,7 @@
 	{
 		struct snipe_departure_log_config c = {};
 
-		c.base = loop.base;
-		c.store = &store.store;
-		c.kind = "departures";
-		c.node_id = "n-1";
-		c.is_first_start = first;
+		c.object = {loop.base, &store.store, "departures", "n-1", first};
 		c.recalled = [](void *arg, const struct snipe_departure *d) {
 			static_cast<DepartureLog *>(arg)->recalled.push_back(*d);
 		};
--- a/tests/gateway/suspect_log_test.cc
+++ b/tests/gateway/suspect_log_test.cc
@@ -20,15 +20,11 @@
 
 	void start(bool first)
 	{
-		struct snipe_suspect_log_config c = {};
+		struct snipe_kept_object_config c = {loop.base, &store.store, "suspects",
+						     SNIPE_SUSPECT_LOG_NAME, first};
 
 		snipe_crash_guard_init(&guard);
-		c.base = loop.base;
-		c.store = &store.store;
-		c.guard = &guard;
-		c.kind = "suspects";
-		c.is_first_start = first;
-		snipe_suspect_log_init(&log, &c);
+		snipe_suspect_log_init(&log, &guard, &c);
 	}
 	void TearDown() override
 	{
