Simplify the crash guard

One function counts strikes, whoever saw the death; one lookup serves all; a success looks its entry up once, as before suspects were kept, which matters since each response is one; the latest suspects are sorted by the library. No behaviour changes; the tests of the guard, the gate, the suspect log and the call path pass unchanged.

--- a/libs/core/crash_guard.c
+++ b/libs/core/crash_guard.c
@@ -41,14 +41,10 @@
 	return h ? h : 1;
 }
 
-static struct snipe_crash_entry *entry_set(struct snipe_crash_guard *g, uint64_t fingerprint)
-{
-	return &g->entries[fingerprint % SETS * WAYS];
-}
-
-static struct snipe_crash_entry *find_entry(struct snipe_crash_guard *g, uint64_t fingerprint)
+static const struct snipe_crash_entry *look_up(const struct snipe_crash_guard *g,
+					       uint64_t fingerprint)
 {
-	struct snipe_crash_entry *set = entry_set(g, fingerprint);
+	const struct snipe_crash_entry *set = &g->entries[fingerprint % SETS * WAYS];
 
 	for (int i = 0; i < WAYS; i++)
 		if (set[i].fingerprint == fingerprint && fingerprint != 0)
@@ -56,6 +52,11 @@
 	return NULL;
 }
 
+static struct snipe_crash_entry *find_entry(struct snipe_crash_guard *g, uint64_t fingerprint)
+{
+	return (struct snipe_crash_entry *)look_up(g, fingerprint);
+}
+
 static int has_counted(const struct snipe_crash_entry *e, uint64_t death)
 {
 	for (int i = 0; i < SNIPE_CRASH_DEATHS; i++)
@@ -88,7 +89,8 @@
 static struct snipe_crash_entry *replace_entry(struct snipe_crash_guard *g, int64_t now_us,
 					       uint64_t fingerprint)
 {
-	struct snipe_crash_entry *set = entry_set(g, fingerprint), *least = &set[0];
+	struct snipe_crash_entry *set = &g->entries[fingerprint % SETS * WAYS],
+				 *least = &set[0];
 
 	for (int i = 1; i < WAYS; i++)
 		if (is_worth_less(&set[i], least, now_us))
@@ -98,43 +100,43 @@
 	return least;
 }
 
-int snipe_crash_guard_strike(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint,
-			     uint64_t death)
+/* is_own tells that the server stood beside this node. */
+static int count_strike(struct snipe_crash_guard *g, int64_t at_us, uint64_t fingerprint,
+			uint64_t death, int is_own)
 {
 	struct snipe_crash_entry *e = find_entry(g, fingerprint);
 
 	if (fingerprint == 0) /* marks a free entry; may come from the network */
 		return 0;
 	if (!e)
-		e = replace_entry(g, now_us, fingerprint);
-	else if (is_outdated(e, now_us))
+		e = replace_entry(g, at_us, fingerprint);
+	else if (is_outdated(e, at_us))
 		e->strikes = 0;
 	else if (has_counted(e, death))
 		return 0;
 	e->strikes++;
 	e->deaths[e->next_death] = death;
 	e->next_death = (e->next_death + 1) % SNIPE_CRASH_DEATHS;
-	if (now_us > e->last_strike_us) {
-		e->last_strike_us = now_us;
+	if (at_us > e->last_strike_us) {
+		e->last_strike_us = at_us;
 		e->has_tried = 0;
 	}
+	e->is_own |= is_own;
 	if (e->is_own && e->strikes >= STRIKES_TO_SUSPECT)
 		g->changes++;
 	return 1;
 }
 
+int snipe_crash_guard_strike(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint,
+			     uint64_t death)
+{
+	return count_strike(g, now_us, fingerprint, death, 0);
+}
+
 int snipe_crash_guard_witness(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint,
 			      uint64_t death)
 {
-	struct snipe_crash_entry *e;
-
-	if (!snipe_crash_guard_strike(g, now_us, fingerprint, death))
-		return 0;
-	e = find_entry(g, fingerprint);
-	if (!e->is_own && e->strikes >= STRIKES_TO_SUSPECT)
-		g->changes++;
-	e->is_own = 1;
-	return 1;
+	return count_strike(g, now_us, fingerprint, death, 1);
 }
 
 int snipe_crash_guard_told(struct snipe_crash_guard *g, int64_t now_us,
@@ -185,10 +187,8 @@
 	return n;
 }
 
-int snipe_crash_guard_clear(struct snipe_crash_guard *g, uint64_t fingerprint)
+static int clear_entry(struct snipe_crash_entry *e)
 {
-	struct snipe_crash_entry *e = find_entry(g, fingerprint);
-
 	if (!e || e->strikes == 0)
 		return 0;
 	/* The deaths stay: reports of them that are still to come must not count again. */
@@ -196,6 +196,11 @@
 	return 1;
 }
 
+int snipe_crash_guard_clear(struct snipe_crash_guard *g, uint64_t fingerprint)
+{
+	return clear_entry(find_entry(g, fingerprint));
+}
+
 unsigned snipe_crash_guard_changes(const struct snipe_crash_guard *g)
 {
 	return g->changes;
@@ -214,27 +219,27 @@
 	snipe_buffer_printf(out, "\n");
 }
 
-void snipe_crash_guard_print(const struct snipe_crash_guard *g, int64_t now_us, int64_t wall_ms,
-			     struct snipe_buffer *out)
+static gint latest_first(gconstpointer a, gconstpointer b)
 {
-	const struct snipe_crash_entry *latest[MAX_PRINTED] = {NULL};
-	int n = 0;
+	const struct snipe_crash_entry *x = *(struct snipe_crash_entry *const *)a;
+	const struct snipe_crash_entry *y = *(struct snipe_crash_entry *const *)b;
 
-	for (int i = 0; i < SNIPE_CRASH_GUARD_ENTRIES; i++) {
-		const struct snipe_crash_entry *e = &g->entries[i];
-		int at;
+	return (x->last_strike_us < y->last_strike_us) -
+	       (x->last_strike_us > y->last_strike_us);
+}
 
-		if (!is_suspect(e, now_us))
-			continue;
-		for (at = n; at > 0 && latest[at - 1]->last_strike_us < e->last_strike_us; at--)
-			if (at < MAX_PRINTED)
-				latest[at] = latest[at - 1];
-		if (at < MAX_PRINTED)
-			latest[at] = e;
-		n = MIN(n + 1, MAX_PRINTED);
-	}
-	for (int i = 0; i < n; i++)
-		print_entry(latest[i], now_us, wall_ms, out);
+void snipe_crash_guard_print(const struct snipe_crash_guard *g, int64_t now_us, int64_t wall_ms,
+			     struct snipe_buffer *out)
+{
+	GPtrArray *suspects = g_ptr_array_new();
+
+	for (int i = 0; i < SNIPE_CRASH_GUARD_ENTRIES; i++)
+		if (is_suspect(&g->entries[i], now_us))
+			g_ptr_array_add(suspects, (gpointer)&g->entries[i]);
+	g_ptr_array_sort(suspects, latest_first);
+	for (guint i = 0; i < MIN(suspects->len, MAX_PRINTED); i++)
+		print_entry(g_ptr_array_index(suspects, i), now_us, wall_ms, out);
+	g_ptr_array_free(suspects, TRUE);
 }
 
 /* Returns the number of strikes of a line that were counted, or SNIPE_ERR_SYNTAX. */
@@ -281,12 +286,13 @@
 
 int snipe_crash_guard_success(struct snipe_crash_guard *g, int64_t now_us, uint64_t fingerprint)
 {
+	struct snipe_crash_entry *e = find_entry(g, fingerprint);
 	struct snipe_crash_cleared *oldest = &g->cleared[0];
+	int was_suspect = e && is_suspect(e, now_us);
 
-	if (snipe_crash_guard_is_suspect(g, now_us, fingerprint))
-		g->changes++;
-	if (!snipe_crash_guard_clear(g, fingerprint))
+	if (!clear_entry(e))
 		return 0;
+	g->changes += was_suspect;
 	for (int i = 0; i < SNIPE_CRASH_CLEARED; i++)
 		if (g->cleared[i].at_us < oldest->at_us || !g->cleared[i].fingerprint)
 			oldest = &g->cleared[i];
@@ -309,26 +315,18 @@
 int snipe_crash_guard_is_suspect(const struct snipe_crash_guard *g, int64_t now_us,
 				 uint64_t fingerprint)
 {
-	const struct snipe_crash_entry *set = &g->entries[fingerprint % SETS * WAYS];
+	const struct snipe_crash_entry *e = look_up(g, fingerprint);
 
-	for (int i = 0; i < WAYS; i++)
-		if (set[i].fingerprint == fingerprint)
-			return is_suspect(&set[i], now_us);
-	return 0;
+	return e && is_suspect(e, now_us);
 }
 
 void snipe_crash_guard_view(const struct snipe_crash_guard *g, uint64_t fingerprint,
 			    struct snipe_crash_view *view)
 {
-	const struct snipe_crash_entry *set = &g->entries[fingerprint % SETS * WAYS];
+	const struct snipe_crash_entry *e = look_up(g, fingerprint);
 
-	memset(view, 0, sizeof(*view));
-	for (int i = 0; i < WAYS; i++) {
-		if (set[i].fingerprint != fingerprint || fingerprint == 0)
-			continue;
-		view->strikes = set[i].strikes;
-		view->last_strike_us = set[i].last_strike_us;
-	}
+	view->strikes = e ? e->strikes : 0;
+	view->last_strike_us = e ? e->last_strike_us : 0;
 }
 
 int64_t snipe_crash_guard_trial_due(struct snipe_crash_guard *g, uint64_t fingerprint)
--- a/libs/core/crash_guard.h
+++ b/libs/core/crash_guard.h
@@ -45,14 +45,14 @@
 		int strikes;
 		int64_t last_strike_us;
 		int has_tried; /* a trial ran here since the last strike */
-		int is_own;    /* a server died beside this node */
+		int is_own;    /* one of the deaths was beside this node */
 	} entries[SNIPE_CRASH_GUARD_ENTRIES];
 	struct snipe_crash_cleared {
 		uint64_t fingerprint; /* 0: free */
 		int64_t at_us;
 	} cleared[SNIPE_CRASH_CLEARED]; /* by successes that this node saw */
 	int next_told;			/* index of the suspect that is told next */
-	unsigned changes;
+	unsigned changes;		/* see snipe_crash_guard_changes */
 };
 
 void snipe_crash_guard_init(struct snipe_crash_guard *g);
