Write the lines of the crash guard in one place, also for own successes

The lines of strikes, cleared strikes and suspects stood in gate, gateway and entry; they are now in crash_log. A success that clears strikes at the node itself was not logged, though the strikes of other nodes' successes were: gate and entry now write crash_strikes_cleared for it.

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -1,12 +1,11 @@
 #include "gateway/entry_state.h"
 
 #include <event2/event.h>
-#include <inttypes.h>
 #include <string.h>
 
 #include "base/clock.h"
 #include "base/hash.h"
-#include "base/log.h"
+#include "gateway/crash_log.h"
 #include "gateway/gate.h"
 
 /* Parts of the fleet's bound on repeats, for each service. A call that runs again makes its own
@@ -127,24 +126,6 @@
 	snipe_retry_share_on_call(&s->resends);
 }
 
-/* The line of the request says that it is suspect; this one says why. */
-static void log_suspect(const struct snipe_entry_call *call)
-{
-	static struct snipe_log_limit limit;
-	struct snipe_crash_view v;
-	unsigned suppressed;
-
-	if (!snipe_log_allow(&limit, call->received_us, SNIPE_LOG_LINES_PER_S, &suppressed))
-		return;
-	snipe_crash_guard_view(call->entry->config.guard, call->fingerprint, &v);
-	snipe_log(SNIPE_LOG_INFO, "crash_suspect",
-		  "request=%s fingerprint=%016" PRIx64
-		  " strikes=%d strike_age_ms=%lld trial=%d suppressed=%u",
-		  call->request_id, call->fingerprint, v.strikes,
-		  (long long)((call->received_us - v.last_strike_us) / 1000), call->is_trial,
-		  suppressed);
-}
-
 /* A suspect request that many callers send must be found innocent again: one of them runs. */
 static int begin_trial(struct snipe_entry_call *call)
 {
@@ -156,7 +137,8 @@
 			 snipe_crash_guard_try(
 				 e->config.guard, call->received_us, call->fingerprint,
 				 snipe_directory_turn(e->config.directory, call->fingerprint));
-	log_suspect(call);
+	snipe_crash_log_suspect(e->config.guard, call->received_us, call->fingerprint,
+				call->request_id, call->is_trial);
 	if (call->is_trial)
 		snipe_entry_call_log(call, "request_trial", 0, SNIPE_GATE_CRASH_SUSPECT, 0);
 	return call->is_trial;
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "gateway/crash_log.h"
 #include "gateway/gate.h"
 #include "wire/frame.h"
 
@@ -344,8 +345,10 @@
 	}
 	if (answer->status < 500) {
 		record_attempt_time(a);
-		snipe_crash_guard_success(call->entry->config.guard, snipe_now_us(),
-					  call->fingerprint);
+		if (snipe_crash_guard_success(call->entry->config.guard, snipe_now_us(),
+					      call->fingerprint))
+			snipe_crash_log_cleared(call->fingerprint,
+						call->entry->config.settings->node_id);
 	}
 	call->arrivals++;
 	drop_attempts(call, a);
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "gateway/crash_log.h"
 
 /* Part of the announced slots that is used: servers slow down when they are nearly full, and a
  * new connection may hold a slot for a moment. */
@@ -228,30 +229,14 @@
 	g->config.changed(g->config.arg);
 }
 
-void snipe_gate_log_strike(const struct snipe_crash_guard *guard, uint64_t fingerprint,
-			   uint64_t death, const char *node_id)
-{
-	static struct snipe_log_limit limit;
-	struct snipe_crash_view v;
-	unsigned suppressed;
-
-	if (!snipe_log_allow(&limit, snipe_now_us(), SNIPE_LOG_LINES_PER_S, &suppressed))
-		return;
-	snipe_crash_guard_view(guard, fingerprint, &v);
-	snipe_log(SNIPE_LOG_INFO, "crash_strike",
-		  "fingerprint=%016" PRIx64 " death=%016" PRIx64
-		  " strikes=%d told_by=%s suppressed=%u",
-		  fingerprint, death, v.strikes, node_id, suppressed);
-}
-
 static void add_strike(struct snipe_gate *g, uint64_t fingerprint)
 {
 	struct snipe_strike strike = {fingerprint, g->death, 0};
 
 	if (!snipe_crash_guard_witness(g->config.guard, snipe_now_us(), fingerprint, g->death))
 		return;
-	snipe_gate_log_strike(g->config.guard, fingerprint, g->death,
-			      g->config.settings->node_id);
+	snipe_crash_log_strike(g->config.guard, fingerprint, g->death,
+			       g->config.settings->node_id);
 	g_array_append_val(g->strikes, strike);
 }
 
@@ -348,7 +333,8 @@
 		a->header_count++;
 	}
 	record_run(g, call);
-	snipe_crash_guard_success(g->config.guard, snipe_now_us(), call->fingerprint);
+	if (snipe_crash_guard_success(g->config.guard, snipe_now_us(), call->fingerprint))
+		snipe_crash_log_cleared(call->fingerprint, g->config.settings->node_id);
 	snipe_counters_add(g->config.counters, g->count_complete, 1);
 	end_call(call);
 	start_waiting(g);
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -104,9 +104,6 @@
 			    struct snipe_node_report *report);
 /* Nonzero if there are strikes that no report had yet and the next one will have. */
 int snipe_gate_has_news(const struct snipe_gate *g, int64_t now_us);
-/* Logs a strike that was counted; node_id is the node beside the server that died. */
-void snipe_gate_log_strike(const struct snipe_crash_guard *guard, uint64_t fingerprint,
-			   uint64_t death, const char *node_id);
 void snipe_gate_dump(const struct snipe_gate *g, struct snipe_buffer *out);
 
 #ifdef __cplusplus
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -2,13 +2,13 @@
 
 #include <event2/event.h>
 #include <glib.h>
-#include <inttypes.h>
 #include <signal.h>
 #include <string.h>
 
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/log.h"
+#include "gateway/crash_log.h"
 #include "gateway/departure_log.h"
 #include "gateway/directory.h"
 #include "gateway/entry.h"
@@ -295,17 +295,6 @@
 						       SNIPE_REPORT_MAX_QUOTAS);
 }
 
-static void log_cleared(uint64_t fingerprint, const char *node_id, int64_t now_us)
-{
-	static struct snipe_log_limit limit;
-	unsigned suppressed;
-
-	if (snipe_log_allow(&limit, now_us, SNIPE_LOG_LINES_PER_S, &suppressed))
-		snipe_log(SNIPE_LOG_INFO, "crash_strikes_cleared",
-			  "fingerprint=%016" PRIx64 " told_by=%s suppressed=%u", fingerprint,
-			  node_id, suppressed);
-}
-
 static void on_reported(void *arg, int64_t now_us, const struct snipe_node_report *r)
 {
 	struct gateway *g = arg;
@@ -314,11 +303,11 @@
 			       r->process, r->quotas, r->quota_count);
 	for (int i = 0; i < r->strike_count; i++)
 		if (snipe_crash_guard_told(&g->guard, now_us, &r->strikes[i]))
-			snipe_gate_log_strike(&g->guard, r->strikes[i].fingerprint,
-					      r->strikes[i].death, r->node_id);
+			snipe_crash_log_strike(&g->guard, r->strikes[i].fingerprint,
+					       r->strikes[i].death, r->node_id);
 	for (int i = 0; i < r->cleared_count; i++)
 		if (snipe_crash_guard_clear(&g->guard, r->cleared[i]))
-			log_cleared(r->cleared[i], r->node_id, now_us);
+			snipe_crash_log_cleared(r->cleared[i], r->node_id);
 }
 
 static void on_fill_confirm(void *arg, int64_t now_us, uint64_t *routing_version,
