Keep the question whether a node reads free of side effects

has_to_read logged that a node began to read alone and changed the state for it; check_alone does that now, before the question.

--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -180,18 +180,29 @@
 	retry_tables(s, s->failures);
 }
 
-/* Whether this node has to ask the store itself. */
-static int has_to_read(struct snipe_sync *s)
+/* Whether the nodes that read for others have not been heard for too long. */
+static int misses_readers(const struct snipe_sync *s)
 {
 	int64_t age = snipe_now_us() - s->config.confirmed_us(s->config.arg);
-	int is_alone = !snipe_directory_is_reader(s->config.directory) && age > ALONE_US;
 
-	if (is_alone && !s->was_alone)
+	return age > ALONE_US && !snipe_directory_is_reader(s->config.directory);
+}
+
+/* Whether this node has to ask the store itself. */
+static int has_to_read(const struct snipe_sync *s)
+{
+	return s->is_alone || is_behind(s) || snipe_directory_is_reader(s->config.directory);
+}
+
+static void check_alone(struct snipe_sync *s)
+{
+	int alone = misses_readers(s);
+
+	if (alone && !s->is_alone)
 		snipe_log(SNIPE_LOG_INFO, "tables_read_alone",
 			  "confirmed_age_ms=%lld store_failures=%d", confirmed_age_ms(s),
 			  s->failures);
-	s->was_alone = is_alone;
-	return is_alone || is_behind(s) || snipe_directory_is_reader(s->config.directory);
+	s->is_alone = alone;
 }
 
 static void read_tables(struct snipe_sync *s)
@@ -200,6 +211,7 @@
 	struct snipe_object_store *store = s->config.store;
 	int handle;
 
+	check_alone(s);
 	if (!has_to_read(s)) {
 		set_timer(&s->retry, ROLE_CHECK_US);
 		return;
@@ -389,7 +401,7 @@
 	memset(&m, 0, sizeof(m));
 	m.type = SNIPE_MSG_OBJECT;
 	if (s->routing) {
-		m.u.object.version = held_version(s);
+		m.u.object.version = s->routing->version;
 		m.u.object.value.data = s->routing->document;
 		m.u.object.value.len = s->routing->document_len;
 	}
--- a/libs/gateway/sync.h
+++ b/libs/gateway/sync.h
@@ -53,7 +53,7 @@
 	int is_unread;	   /* the newest tables could not be decoded */
 	int64_t lost_us;
 	int is_reachable;
-	int was_alone; /* read by itself although others are to read for it */
+	int is_alone; /* the nodes that read for others were not heard for too long */
 	struct snipe_log_limit failure_lines;
 	struct event retry;
 	/* registration */
