Ask in one place whether strikes are still reported

The gate compared the time of the last death at two places, and read the clock again to look for a suspect. No behaviour changes; gateway_gate_test passes unchanged.

--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -229,6 +229,12 @@
 	g->config.changed(g->config.arg);
 }
 
+/* Whether the strikes of the last deaths are still reported. */
+static int reports_strikes(const struct snipe_gate *g, int64_t now_us)
+{
+	return now_us - g->death_us <= STRIKE_REPORT_US;
+}
+
 static void add_strike(struct snipe_gate *g, uint64_t fingerprint)
 {
 	struct snipe_strike strike = {fingerprint, g->death, 0};
@@ -251,7 +257,7 @@
 {
 	int64_t now = snipe_now_us();
 
-	if (now - g->death_us > STRIKE_REPORT_US) {
+	if (!reports_strikes(g, now)) {
 		g_array_set_size(g->strikes, 0);
 		g->told = 0;
 	}
@@ -419,11 +425,10 @@
 	event_add(&call->timer, &tv);
 }
 
-static int is_refused_suspect(const struct snipe_gate_call *call)
+static int is_refused_suspect(const struct snipe_gate_call *call, int64_t now_us)
 {
-	return !call->is_trial &&
-	       snipe_crash_guard_is_suspect(call->gate->config.guard, snipe_now_us(),
-					    call->fingerprint);
+	return !call->is_trial && snipe_crash_guard_is_suspect(call->gate->config.guard, now_us,
+							       call->fingerprint);
 }
 
 /* Sends a call that the queue counts as running. It may have become suspect while it waited. */
@@ -436,7 +441,7 @@
 
 	call->started_us = now;
 	snipe_histogram_add(&g->wait, (uint64_t)(now - call->received_us));
-	if (is_refused_suspect(call)) {
+	if (is_refused_suspect(call, now)) {
 		fail_call(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_CRASH_SUSPECT, 0);
 		return;
 	}
@@ -577,7 +582,7 @@
 	snipe_counters_add(g->config.counters, g->count_received, 1);
 	if (!reason && strcmp(m->pool, g->server.service) != 0)
 		reason = SNIPE_GATE_NO_SERVER;
-	if (!reason && is_refused_suspect(call))
+	if (!reason && is_refused_suspect(call, now))
 		reason = SNIPE_GATE_CRASH_SUSPECT;
 	if (!reason && was_paused(g, now))
 		reason = SNIPE_GATE_EXPIRED;
@@ -800,11 +805,6 @@
 	return g->in_flight;
 }
 
-static int reports_strikes(const struct snipe_gate *g, int64_t now_us)
-{
-	return now_us - g->death_us <= STRIKE_REPORT_US;
-}
-
 int snipe_gate_has_news(const struct snipe_gate *g, int64_t now_us)
 {
 	return g->told < g->strikes->len && reports_strikes(g, now_us);
