Share the common steps of two tests

The rounds of failures in crashing_request_test and the waits beside other nodes in sync_test stood there three and four times.

--- a/tests/gateway/sync_test.cc
+++ b/tests/gateway/sync_test.cc
@@ -167,6 +167,12 @@
 		}
 		return done();
 	}
+	void run_beside_others(int ms)
+	{
+		int64_t end = snipe_now_us() + ms * 1000;
+
+		until_beside_others([&] { return snipe_now_us() >= end; });
+	}
 	// Ends the read that is open; from then on others read.
 	void stop_reading()
 	{
@@ -174,6 +180,13 @@
 			[&] { return !snipe_directory_is_reader(&directory); }));
 		answer(SNIPE_ERR_STALE, 7);
 	}
+	// Holds the version 3 and leaves reading to others.
+	void begin_beside_readers()
+	{
+		answer(0, 7, "v3");
+		expect_read(2, "watch", 7);
+		stop_reading();
+	}
 	void expect_read(size_t count, const std::string &what, uint64_t after = 0)
 	{
 		expect_call("config", count, what);
@@ -322,20 +335,16 @@
 {
 	Listener silent;
 
-	answer(0, 7, "v3");
-	expect_read(2, "watch", 7);
-	stop_reading();
+	begin_beside_readers();
 	size_t reads = store.of("config").size();
-	until_beside_others(
-		[&, end = snipe_now_us() + 500000] { return snipe_now_us() > end; });
+	run_beside_others(500);
 	ASSERT_EQ(store.of("config").size(), reads) << "others read";
 	snipe_sync_offer(&sync, &silent.address, 4);
 	ASSERT_TRUE(
 		until_beside_others([&] { return store.of("config").size() == reads + 1; }));
 	answer(0, 8, "v4");
 	EXPECT_EQ(versions, (std::vector<uint64_t>{3, 4}));
-	until_beside_others(
-		[&, end = snipe_now_us() + 500000] { return snipe_now_us() > end; });
+	run_beside_others(500);
 	EXPECT_EQ(store.of("config").size(), reads + 1) << "it goes on as before";
 }
 
@@ -352,8 +361,7 @@
 	expect_read(3, "watch", 8);
 	stop_reading();
 	size_t reads = store.of("config").size();
-	until_beside_others(
-		[&, end = snipe_now_us() + 2000000] { return snipe_now_us() > end; });
+	run_beside_others(2000);
 	EXPECT_EQ(sync.fetch, 0u);
 	EXPECT_EQ(store.of("config").size(), reads);
 }
@@ -362,9 +370,7 @@
 // force, because one call failed.
 TEST_F(Sync, ANodeThatReadsAloneTriesAgainSoonAfterTheFirstFailure)
 {
-	answer(0, 7, "v3");
-	expect_read(2, "watch", 7);
-	stop_reading();
+	begin_beside_readers();
 	size_t reads = store.of("config").size();
 	confirmed_age_us = 1700000;
 	ASSERT_TRUE(
@@ -376,7 +382,6 @@
 	EXPECT_LT(snipe_now_us() - failed_us, 1000000);
 	// A store that goes on failing is asked less often.
 	answer(SNIPE_ERR_UNAVAILABLE);
-	until_beside_others(
-		[&, end = snipe_now_us() + 1000000] { return snipe_now_us() > end; });
+	run_beside_others(1000);
 	EXPECT_EQ(store.of("config").size(), reads + 2);
 }
--- a/tests/process/crashing_request_test.cc
+++ b/tests/process/crashing_request_test.cc
@@ -71,6 +71,18 @@
 			drop_done(others_);
 		}
 	}
+	// Lets the request end servers, and sends it again after each of three failures.
+	void hammer_after(const std::function<void(int)> &fail)
+	{
+		hammer(2500);
+		EXPECT_GE(ended(), 2);
+		for (int round = 0; round < 3; round++) {
+			fail(round);
+			ASSERT_FALSE(HasFatalFailure());
+			loop.run_ms((int)(CONTACT_US / 1000));
+			hammer(2500);
+		}
+	}
 	int ended() const
 	{
 		return (int)ended_.size();
@@ -139,47 +151,35 @@
 TEST_F(CrashingRequest, IsStoppedAlthoughNodesRestartInTurn)
 {
 	start(4);
-	hammer(2500);
-	EXPECT_GE(ended(), 2);
-	for (int round = 0; round < 3; round++) {
+	hammer_after([&](int) {
 		for (size_t i = 0; i < nodes.size(); i++)
 			restart(i);
-		loop.run_ms((int)(CONTACT_US / 1000));
-		hammer(2500);
-	}
+	});
 	expect_few_retries();
 }
 
 TEST_F(CrashingRequest, IsStoppedAlthoughAllNodesWereKilled)
 {
 	start(4);
-	hammer(2500);
-	EXPECT_GE(ended(), 2);
-	for (int round = 0; round < 3; round++) {
+	hammer_after([&](int) {
 		for (auto &n : nodes)
 			n->process->Kill();
 		for (size_t i = 0; i < nodes.size(); i++)
 			Start(i, false);
 		for (size_t i = 0; i < nodes.size(); i++)
 			ASSERT_TRUE(loop.until([&] { return Ready(i); }));
-		loop.run_ms((int)(CONTACT_US / 1000));
-		hammer(2500);
-	}
+	});
 	expect_few_retries();
 }
 
 TEST_F(CrashingRequest, IsStoppedAlthoughItsRouteIsRenamed)
 {
 	start(4);
-	hammer(2500);
-	EXPECT_GE(ended(), 2);
-	for (int round = 0; round < 3; round++) {
+	hammer_after([&](int round) {
 		routes[0] = "[\"read-" + std::to_string(round) +
 			    "\",\"a.example\",\"/read/\",\"idempotent\",3,3,false,null,"
 			    "\"tips\"]";
 		PutTables();
-		loop.run_ms((int)(CONTACT_US / 1000));
-		hammer(2500);
-	}
+	});
 	expect_few_retries();
 }
