--- /dev/null
+++ b/libs/core/call_profile.c
@@ -0,0 +1,344 @@
+#include "core/call_profile.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "base/error.h"
+
+/* Length of one sample of the runs and calls: longer than most runs, whose calls would else
+ * fall into other samples than their starts and ends. */
+#define SAMPLE_US 500000
+/* Time constant of the sums over samples. */
+#define MEMORY_US 30000000.0
+/* Fewer samples, or runs of a route, do not show yet how many calls it makes. */
+#define MIN_SAMPLES 3.0
+#define MIN_RUNS 5.0
+/* Time constant of the part of the calls that fail; while it is above MAX_FAILED_RATIO, samples
+ * do not count. */
+#define FAILED_TIME_US 1000000.0
+#define MAX_FAILED_RATIO 0.05
+/* A route makes calls only if its estimate is above this many standard errors. */
+#define MIN_STANDARD_ERRORS 3.0
+/* Weight of one run in the mean run time, and of one answer in the mean cost of a call. */
+#define RUN_WEIGHT 0.05
+#define ANSWER_WEIGHT 0.2
+#define MAX_ROUTES SNIPE_CALL_PROFILE_ROUTES
+#define MAX_CALLEES SNIPE_CALL_PROFILE_CALLEES
+
+static void insert_cost(struct snipe_chain_cost *sum, uint64_t service, double slot_us)
+{
+	int cheapest = 0;
+
+	for (int i = 0; i < sum->count; i++) {
+		if (sum->services[i].service == service) {
+			sum->services[i].slot_us += slot_us;
+			return;
+		}
+		if (sum->services[i].slot_us < sum->services[cheapest].slot_us)
+			cheapest = i;
+	}
+	if (sum->count < SNIPE_CHAIN_MAX_SERVICES)
+		cheapest = sum->count++;
+	else if (sum->services[cheapest].slot_us >= slot_us)
+		return;
+	sum->services[cheapest].service = service;
+	sum->services[cheapest].slot_us = slot_us;
+}
+
+void snipe_chain_cost_add(struct snipe_chain_cost *sum, const struct snipe_chain_cost *cost,
+			  double factor)
+{
+	for (int i = 0; i < cost->count; i++)
+		insert_cost(sum, cost->services[i].service, cost->services[i].slot_us * factor);
+}
+
+double snipe_chain_cost_at(const struct snipe_chain_cost *cost, uint64_t service)
+{
+	for (int i = 0; i < cost->count; i++)
+		if (cost->services[i].service == service)
+			return cost->services[i].slot_us;
+	return 0;
+}
+
+void snipe_chain_cost_average(struct snipe_chain_cost *mean,
+			      const struct snipe_chain_cost *sample, double weight)
+{
+	struct snipe_chain_cost next = {.count = 0};
+
+	if (mean->count > 0) {
+		snipe_chain_cost_add(&next, mean, 1 - weight);
+		snipe_chain_cost_add(&next, sample, weight);
+		*mean = next;
+	} else {
+		*mean = *sample;
+	}
+}
+
+void snipe_call_profile_init(struct snipe_call_profile *p, int64_t now_us)
+{
+	memset(p, 0, sizeof(*p));
+	p->sample_start_us = now_us;
+}
+
+static int find_route(const struct snipe_call_profile *p, uint64_t route)
+{
+	for (int i = 0; i < p->route_count; i++)
+		if (p->routes[i].route == route)
+			return i;
+	return -1;
+}
+
+static int find_callee(const struct snipe_call_profile *p, uint64_t route)
+{
+	for (int i = 0; i < p->callee_count; i++)
+		if (p->callees[i].route == route)
+			return i;
+	return -1;
+}
+
+static struct snipe_call_profile_route *get_or_add_route(struct snipe_call_profile *p,
+							 uint64_t route)
+{
+	int i = find_route(p, route);
+
+	if (i < 0 && p->route_count < MAX_ROUTES) {
+		i = p->route_count++;
+		p->routes[i].route = route;
+	}
+	return i < 0 ? NULL : &p->routes[i];
+}
+
+static struct snipe_call_profile_callee *get_or_add_callee(struct snipe_call_profile *p,
+							   uint64_t route)
+{
+	int i = find_callee(p, route);
+
+	if (i < 0 && p->callee_count < MAX_CALLEES) {
+		i = p->callee_count++;
+		p->callees[i].route = route;
+	}
+	return i < 0 ? NULL : &p->callees[i];
+}
+
+/* Adds the sample to the sums of the least squares problem. */
+static void add_sample(struct snipe_call_profile *p)
+{
+	p->samples++;
+	for (int i = 0; i < p->route_count; i++) {
+		struct snipe_call_profile_route *r = &p->routes[i];
+
+		r->runs += r->sample_runs;
+		for (int j = 0; j < p->route_count; j++)
+			r->products[j] += r->sample_runs * p->routes[j].sample_runs;
+		for (int j = 0; j < p->callee_count; j++)
+			r->call_products[j] += r->sample_runs * p->callees[j].sample_calls;
+	}
+	for (int j = 0; j < p->callee_count; j++)
+		p->callees[j].squares +=
+			p->callees[j].sample_calls * p->callees[j].sample_calls;
+}
+
+static void decay_sums(struct snipe_call_profile *p, double factor)
+{
+	p->samples *= factor;
+	for (int i = 0; i < p->route_count; i++) {
+		struct snipe_call_profile_route *r = &p->routes[i];
+
+		r->runs *= factor;
+		for (int j = 0; j < p->route_count; j++)
+			r->products[j] *= factor;
+		for (int j = 0; j < p->callee_count; j++)
+			r->call_products[j] *= factor;
+	}
+	for (int j = 0; j < p->callee_count; j++)
+		p->callees[j].squares *= factor;
+}
+
+/* Least squares over some of the routes. */
+struct estimate {
+	int routes[MAX_ROUTES]; /* indexes */
+	int count;
+	double calls[MAX_ROUTES];	   /* for each request, by position in routes */
+	double standard_error[MAX_ROUTES]; /* of calls; 0 for a route that cannot be told apart
+					    */
+};
+
+/* Inverts the matrix of the products by Gauss-Jordan elimination without pivoting, which is
+ * stable since it is positive semidefinite. Returns the position of a route that depends on
+ * those before it, or -1. */
+static int invert_products(const struct snipe_call_profile *p, const struct estimate *e,
+			   double inverse[MAX_ROUTES][MAX_ROUTES])
+{
+	double m[MAX_ROUTES][MAX_ROUTES];
+	int n = e->count;
+
+	for (int i = 0; i < n; i++)
+		for (int j = 0; j < n; j++) {
+			m[i][j] = p->routes[e->routes[i]].products[e->routes[j]];
+			inverse[i][j] = i == j;
+		}
+	for (int i = 0; i < n; i++) {
+		double pivot = m[i][i];
+
+		if (pivot <= 1e-9 * p->routes[e->routes[i]].products[e->routes[i]])
+			return i;
+		for (int j = 0; j < n; j++) {
+			m[i][j] /= pivot;
+			inverse[i][j] /= pivot;
+		}
+		for (int k = 0; k < n; k++) {
+			double factor = m[k][i];
+
+			for (int j = 0; k != i && j < n; j++) {
+				m[k][j] -= factor * m[i][j];
+				inverse[k][j] -= factor * inverse[i][j];
+			}
+		}
+	}
+	return -1;
+}
+
+static void fit(const struct snipe_call_profile *p, int callee, struct estimate *e)
+{
+	double inverse[MAX_ROUTES][MAX_ROUTES];
+	double residual = p->callees[callee].squares, variance;
+	int dependent = invert_products(p, e, inverse);
+
+	memset(e->calls, 0, sizeof(e->calls));
+	memset(e->standard_error, 0, sizeof(e->standard_error));
+	if (dependent >= 0) {
+		e->standard_error[dependent] = INFINITY;
+		return;
+	}
+	for (int i = 0; i < e->count; i++) {
+		for (int j = 0; j < e->count; j++)
+			e->calls[i] +=
+				inverse[i][j] * p->routes[e->routes[j]].call_products[callee];
+		residual -= e->calls[i] * p->routes[e->routes[i]].call_products[callee];
+	}
+	variance = MAX(residual, 0) / MAX(p->samples - e->count, 1);
+	for (int i = 0; i < e->count; i++)
+		e->standard_error[i] = sqrt(variance * inverse[i][i]);
+}
+
+/* Estimates the calls to a callee that a request of each route makes. The route whose estimate
+ * is the least certain is left out until all are certain, or one is left. */
+static void estimate_calls(struct snipe_call_profile *p, int callee)
+{
+	struct estimate e = {.count = 0};
+
+	for (int i = 0; i < p->route_count; i++) {
+		p->routes[i].calls[callee] = 0;
+		if (p->routes[i].runs >= MIN_RUNS)
+			e.routes[e.count++] = i;
+	}
+	while (e.count > 0) {
+		int least = 0;
+		double margin, least_margin = INFINITY;
+
+		fit(p, callee, &e);
+		for (int i = 0; i < e.count; i++) {
+			margin = e.calls[i] - MIN_STANDARD_ERRORS * e.standard_error[i];
+			if (margin < least_margin) {
+				least = i;
+				least_margin = margin;
+			}
+		}
+		if (e.count == 1 || least_margin > 0)
+			break;
+		e.count--;
+		memmove(&e.routes[least], &e.routes[least + 1],
+			(size_t)(e.count - least) * sizeof(e.routes[0]));
+	}
+	for (int i = 0; i < e.count; i++)
+		p->routes[e.routes[i]].calls[callee] = MAX(e.calls[i], 0);
+}
+
+static void end_sample(struct snipe_call_profile *p, int64_t now_us)
+{
+	double elapsed_us = (double)(now_us - p->sample_start_us);
+	double failed_factor = exp(-elapsed_us / FAILED_TIME_US);
+
+	if (p->recent_failed_calls <= MAX_FAILED_RATIO * p->recent_calls) {
+		decay_sums(p, exp(-elapsed_us / MEMORY_US));
+		add_sample(p);
+		for (int j = 0; j < p->callee_count; j++)
+			estimate_calls(p, j);
+	}
+	p->recent_calls *= failed_factor;
+	p->recent_failed_calls *= failed_factor;
+	for (int i = 0; i < p->route_count; i++)
+		p->routes[i].sample_runs = 0;
+	for (int j = 0; j < p->callee_count; j++)
+		p->callees[j].sample_calls = 0;
+	p->sample_start_us = now_us;
+}
+
+static void advance(struct snipe_call_profile *p, int64_t now_us)
+{
+	if (now_us - p->sample_start_us >= SAMPLE_US)
+		end_sample(p, now_us);
+}
+
+/* The start and the end of a run count a half each: its calls fall between them. */
+void snipe_call_profile_start(struct snipe_call_profile *p, int64_t now_us, uint64_t route)
+{
+	struct snipe_call_profile_route *r = get_or_add_route(p, route);
+
+	advance(p, now_us);
+	if (r)
+		r->sample_runs += 0.5;
+}
+
+void snipe_call_profile_end(struct snipe_call_profile *p, int64_t now_us, uint64_t route,
+			    int64_t run_us, int is_success)
+{
+	struct snipe_call_profile_route *r = get_or_add_route(p, route);
+
+	advance(p, now_us);
+	if (!r)
+		return;
+	r->sample_runs += 0.5;
+	if (is_success)
+		r->run_us = r->run_us > 0
+				    ? r->run_us + RUN_WEIGHT * ((double)run_us - r->run_us)
+				    : (double)run_us;
+}
+
+void snipe_call_profile_call(struct snipe_call_profile *p, int64_t now_us, uint64_t callee)
+{
+	struct snipe_call_profile_callee *c = get_or_add_callee(p, callee);
+
+	advance(p, now_us);
+	p->recent_calls++;
+	if (c)
+		c->sample_calls++;
+}
+
+void snipe_call_profile_answer(struct snipe_call_profile *p, uint64_t callee, int is_success,
+			       const struct snipe_chain_cost *cost)
+{
+	struct snipe_call_profile_callee *c = get_or_add_callee(p, callee);
+
+	p->recent_failed_calls += !is_success;
+	if (c && is_success && cost && cost->count > 0)
+		snipe_chain_cost_average(&c->cost, cost, ANSWER_WEIGHT);
+}
+
+int snipe_call_profile_cost(const struct snipe_call_profile *p, uint64_t route,
+			    uint64_t service, struct snipe_chain_cost *cost)
+{
+	int i = find_route(p, route);
+	const struct snipe_call_profile_route *r;
+
+	memset(cost, 0, sizeof(*cost));
+	if (i < 0 || p->routes[i].run_us <= 0 || p->routes[i].runs < MIN_RUNS ||
+	    p->samples < MIN_SAMPLES)
+		return SNIPE_ERR_NOT_FOUND;
+	r = &p->routes[i];
+	insert_cost(cost, service, r->run_us);
+	for (int j = 0; j < p->callee_count; j++)
+		snipe_chain_cost_add(cost, &p->callees[j].cost, r->calls[j]);
+	return 0;
+}
--- a/libs/core/core.h
+++ b/libs/core/core.h
@@ -9,6 +9,8 @@
 
 #include "core/admission.h"
 #include "core/balancer.h"
+#include "core/call_profile.h"
+#include "core/chain_limit.h"
 #include "core/control_state.h"
 #include "core/crash_guard.h"
 #include "core/dedup.h"
--- a/libs/gateway/directory.c
+++ b/libs/gateway/directory.c
@@ -103,6 +103,34 @@
 	return snipe_report_interval_us(snipe_directory_node_count(d));
 }
 
+void snipe_directory_for_each_report(const struct snipe_directory *d,
+				     void (*fn)(void *arg, const struct snipe_node_report *r),
+				     void *arg)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, d->nodes);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct snipe_directory_node *n = value;
+
+		if (n->is_reachable)
+			fn(arg, &n->report);
+	}
+}
+
+const char *snipe_directory_service_name(const struct snipe_directory *d, uint64_t hash)
+{
+	GHashTableIter it;
+	gpointer name;
+
+	g_hash_table_iter_init(&it, d->pools);
+	while (hash && g_hash_table_iter_next(&it, &name, NULL))
+		if (snipe_hash64_str(name) == hash)
+			return name;
+	return "";
+}
+
 static void leave_pool(struct snipe_directory_node *n)
 {
 	if (n->pool)
--- a/libs/gateway/directory.h
+++ b/libs/gateway/directory.h
@@ -96,6 +96,13 @@
 /* Interval in microseconds at which every node reports. */
 int64_t snipe_directory_interval_us(const struct snipe_directory *d);
 
+/* Calls fn with the last report of this node and of each reachable one. */
+void snipe_directory_for_each_report(const struct snipe_directory *d,
+				     void (*fn)(void *arg, const struct snipe_node_report *r),
+				     void *arg);
+/* Returns the name of the service with this hash, or an empty string if it is unknown. */
+const char *snipe_directory_service_name(const struct snipe_directory *d, uint64_t hash);
+
 /* Returns the pool of a service, or NULL if no server of it was ever reported. */
 struct snipe_service_pool *snipe_directory_pool(struct snipe_directory *d, const char *service);
 const struct snipe_address *snipe_directory_address(const struct snipe_service_pool *pool,
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -31,6 +31,8 @@
 	if (s)
 		return s;
 	s = g_new0(struct snipe_entry_route, 1);
+	/* Random, so that the entries do not all reject their first request. */
+	s->chain_credit = g_rand_double(e->rng);
 	snipe_entry_limit_init(&s->limit, snipe_now_us());
 	g_hash_table_insert(e->routes, g_strdup(name), s);
 	return s;
@@ -167,6 +169,26 @@
 	return snipe_crash_fingerprint(&r);
 }
 
+/* Admits a client request if the services of its call chain can complete it. */
+static int admit_chain(struct snipe_entry_call *call)
+{
+	struct snipe_entry *e = call->entry;
+	struct snipe_entry_route *route = call->entry_route;
+
+	call->chain_share = snipe_chain_limit_offer(&e->chain_limit, call->received_us,
+						    snipe_entry_call_rank(call), &route->cost,
+						    &call->bottleneck);
+	if (call->chain_share >= 1)
+		return 1;
+	route->chain_credit += call->chain_share;
+	if (route->chain_credit < 1) {
+		snipe_counters_add(e->config.counters, e->count_chain_rejected, 1);
+		return 0;
+	}
+	route->chain_credit -= 1;
+	return 1;
+}
+
 static void on_request(void *arg, struct snipe_h1_request *req)
 {
 	struct snipe_entry *e = arg;
@@ -195,6 +217,13 @@
 		snipe_entry_call_fail_with(call, 503, SNIPE_GATE_CRASH_SUSPECT, 0);
 		return;
 	}
+	if (call->is_inner) {
+		snipe_call_profile_call(e->config.profile, call->received_us,
+					snipe_hash64_str(call->route->name));
+	} else if (!admit_chain(call)) {
+		snipe_entry_call_reject_not_run(call, SNIPE_ENTRY_CHAIN_OVERLOADED);
+		return;
+	}
 	if (!call->is_inner && !snipe_entry_limit_admit(&call->entry_route->limit)) {
 		snipe_entry_call_reject_not_run(call, SNIPE_GATE_OVERLOADED);
 		return;
@@ -223,6 +252,7 @@
 	e->count_served = snipe_counters_get(c, "requests_served_total", "");
 	e->count_rejected = snipe_counters_get(c, "requests_refused_total", "");
 	e->count_failed = snipe_counters_get(c, "requests_failed_total", "");
+	e->count_chain_rejected = snipe_counters_get(c, "requests_chain_rejected_total", "");
 	e->count_cancelled = snipe_counters_get(c, "requests_cancelled_total", "");
 	e->count_retries = snipe_counters_get(c, "requests_retried_total", "");
 	e->gauge_in_flight = snipe_counters_get(c, "requests_in_flight", "");
@@ -246,6 +276,7 @@
 	e->server.limits.idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US;
 	snipe_fleet_quota_init(&e->quota, snipe_directory_interval_us(config->directory),
 			       config->settings->is_first_start);
+	snipe_chain_limit_init(&e->chain_limit, snipe_now_us());
 	e->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_entry_route);
 	e->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->rng = g_rand_new();
@@ -294,6 +325,32 @@
 	e->confirmed_us = MAX(e->confirmed_us, confirmed_us);
 }
 
+static void add_report(void *arg, const struct snipe_node_report *r)
+{
+	struct snipe_entry *e = arg;
+	uint64_t service = snipe_hash64_str(r->service);
+
+	if (r->server == SNIPE_SERVER_READY && !r->is_stopping)
+		snipe_chain_limit_add_server(&e->chain_limit, service, r->limit,
+					     r->running + r->waiting, r->rejected_ratio);
+	for (int i = 0; i < r->demand_count; i++)
+		snipe_chain_limit_add_demand(&e->chain_limit, &r->demands[i]);
+}
+
+void snipe_entry_update_chain_limit(struct snipe_entry *e)
+{
+	snipe_chain_limit_begin_update(&e->chain_limit);
+	snipe_directory_for_each_report(e->config.directory, add_report, e);
+	snipe_chain_limit_end_update(&e->chain_limit, snipe_now_us(),
+				     snipe_directory_interval_us(e->config.directory));
+}
+
+void snipe_entry_fill_report(struct snipe_entry *e, int64_t now_us, struct snipe_node_report *r)
+{
+	r->demand_count = snipe_chain_limit_demand(&e->chain_limit, now_us, r->demands,
+						   SNIPE_REPORT_MAX_DEMANDS);
+}
+
 int snipe_entry_in_flight(const struct snipe_entry *e)
 {
 	return e->in_flight;
@@ -318,9 +375,9 @@
 		snipe_buffer_printf(
 			out,
 			"%s\"%s\":{\"limit\":%.1f,\"in_flight\":%d,\"latency_us\":%.0f,"
-			"\"unloaded_us\":%.0f}",
+			"\"unloaded_us\":%.0f,\"chain_services\":%d}",
 			n++ ? "," : "", (const char *)name, s->limit.limit, s->limit.in_flight,
-			s->limit.latency_us, s->limit.unloaded_latency_us);
+			s->limit.latency_us, s->limit.unloaded_latency_us, s->cost.count);
 	}
 	snipe_buffer_printf(out, "}}");
 }
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -12,6 +12,8 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "config/routing.h"
+#include "core/call_profile.h"
+#include "core/chain_limit.h"
 #include "core/crash_guard.h"
 #include "core/entry_limit.h"
 #include "core/fleet_quota.h"
@@ -33,6 +35,7 @@
 	struct snipe_peer_task *peers;
 	struct snipe_directory *directory;
 	struct snipe_crash_guard *guard;
+	struct snipe_call_profile *profile;
 	struct snipe_counters *counters;
 };
 
@@ -44,6 +47,7 @@
 	int64_t confirmed_us; /* when the last read of the store that returned these tables was
 				 sent; 0: never */
 	struct snipe_fleet_quota quota;
+	struct snipe_chain_limit chain_limit;
 	GHashTable *routes;   /* name -> struct snipe_entry_route */
 	GHashTable *services; /* name -> struct snipe_entry_service */
 	GRand *rng;
@@ -52,7 +56,7 @@
 	int is_stopping; /* client requests are rejected: the process exits soon */
 	struct snipe_histogram latency; /* of served client requests, microseconds */
 	int count_requests, count_served, count_retries, count_rejected, count_failed,
-		count_cancelled, gauge_in_flight;
+		count_cancelled, count_chain_rejected, gauge_in_flight;
 };
 
 /* Listens for requests. Returns 0, or a negative error with its reason in err. */
@@ -69,6 +73,12 @@
 /* Whether requests with a key may be served: the tables were confirmed recently enough that no
  * withdrawn key is still accepted. */
 int snipe_entry_has_confirmed_tables(const struct snipe_entry *e, int64_t now_us);
+/* Updates what the services of call chains can complete, from the last reports of all nodes;
+ * call it several times in each report interval. */
+void snipe_entry_update_chain_limit(struct snipe_entry *e);
+/* Fills the demand for busy services into the node's report. */
+void snipe_entry_fill_report(struct snipe_entry *e, int64_t now_us,
+			     struct snipe_node_report *report);
 /* Returns the number of requests that have not been answered. */
 int snipe_entry_in_flight(const struct snipe_entry *e);
 /* Appends the state as a JSON object. */
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "gateway/crash_log.h"
 #include "gateway/gate.h"
@@ -86,6 +87,7 @@
 		  "request=%s status=%d reason=%s route=%s service=%s workspace=%s inner=%d "
 		  "server_node=%s attempts=%d arrived_attempts=%d took_ms=%lld left_ms=%lld "
 		  "retry_after_ms=%lld tables=%llx tables_age_ms=%lld entry_limit=%.1f "
+		  "chain_share=%.3f bottleneck=%s bottleneck_slot_ms=%.1f "
 		  "in_flight=%d suppressed=%u",
 		  call->request_id, status, reason, call->route ? call->route->name : "",
 		  call->service ? call->service : "",
@@ -101,8 +103,13 @@
 		  (long long)(retry_after_us / 1000),
 		  (unsigned long long)(call->routing ? call->routing->version : 0),
 		  (long long)(e->confirmed_us ? (now - e->confirmed_us) / 1000 : -1),
-		  call->entry_route ? call->entry_route->limit.limit : 0.0, e->in_flight,
-		  suppressed);
+		  call->entry_route ? call->entry_route->limit.limit : 0.0, call->chain_share,
+		  snipe_directory_service_name(e->config.directory, call->bottleneck),
+		  call->entry_route
+			  ? snipe_chain_cost_at(&call->entry_route->cost, call->bottleneck) /
+				    1000
+			  : 0.0,
+		  e->in_flight, suppressed);
 }
 
 static void add_header(struct snipe_h1_header *h, const char *name, const char *value)
@@ -364,6 +371,21 @@
 	complete(call, answer, body, body_len);
 }
 
+/* Learns from an answer what a request of the route costs over its call chain. */
+static void record_chain_cost(struct snipe_entry_call *call,
+			      const struct snipe_msg_answer *answer)
+{
+	int is_success = answer->outcome == SNIPE_ANSWER_COMPLETE && answer->status < 500;
+
+	if (call->is_inner)
+		snipe_call_profile_answer(call->entry->config.profile,
+					  snipe_hash64_str(call->route->name), is_success,
+					  &answer->cost);
+	else if (is_success && answer->cost.count > 0)
+		snipe_chain_cost_average(&call->entry_route->cost, &answer->cost,
+					 SNIPE_ENTRY_COST_WEIGHT);
+}
+
 static void on_answer(void *arg, int err, const struct snipe_message *reply, const char *body,
 		      size_t body_len)
 {
@@ -384,6 +406,7 @@
 	}
 	answer = &reply->u.answer;
 	record_server_load(a, answer);
+	record_chain_cost(call, answer);
 	if (answer->outcome == SNIPE_ANSWER_COMPLETE) {
 		on_response(a, reply, body, body_len);
 		return;
--- a/libs/gateway/entry_message.c
+++ b/libs/gateway/entry_message.c
@@ -64,7 +64,7 @@
 				   strlen(call->routing->workspaces[call->workspace].name));
 }
 
-static int call_rank(const struct snipe_entry_call *call)
+int snipe_entry_call_rank(const struct snipe_entry_call *call)
 {
 	int workspace = 0;
 
@@ -92,7 +92,7 @@
 	m->depth = call->is_inner ? 2 : 1;
 	m->attempt = call->arrived_attempts;
 	m->fingerprint = call->fingerprint;
-	m->rank = call_rank(call);
+	m->rank = snipe_entry_call_rank(call);
 	m->is_trial = call->is_trial;
 	m->max_queue_wait_us = call->is_inner
 				       ? (int64_t)(INNER_GATE_WAIT_RATIO * (double)left)
--- a/libs/gateway/entry_state.h
+++ b/libs/gateway/entry_state.h
@@ -13,13 +13,19 @@
 extern "C" {
 #endif
 
+/* Why a request was rejected: a service that its call chain needs is short. */
+#define SNIPE_ENTRY_CHAIN_OVERLOADED "chain_overloaded"
+/* Weight of one answer in the mean cost of a route. */
+#define SNIPE_ENTRY_COST_WEIGHT 0.3
 /* Most attempts of one request, including those that a gate rejected. */
 #define SNIPE_ENTRY_MAX_ATTEMPTS 4
 
 struct snipe_entry_route {
 	struct snipe_entry_limit limit;
-	double mean_attempt_us; /* of the attempts that were answered; 0: none yet */
-	int *current_weights;	/* of the targets, for smooth weighted round robin */
+	struct snipe_chain_cost cost; /* of a request over its call chain; empty: unknown */
+	double chain_credit;	      /* accumulated parts of a request that may be admitted */
+	double mean_attempt_us;	      /* of the attempts that were answered; 0: none yet */
+	int *current_weights;	      /* of the targets, for smooth weighted round robin */
 	int current_weight_count;
 	char targets[256]; /* services that current_weights belongs to */
 };
@@ -74,6 +80,8 @@
 					      other attempt succeeds; empty: none */
 	struct snipe_buffer saved_failure_body;
 	char last_reason[SNIPE_REASON_SIZE];
+	double chain_share;  /* part of such requests that the chain limit admitted */
+	uint64_t bottleneck; /* hash of the service that is short; set if that is below 1 */
 	struct event deadline_timer; /* ends the call after its deadline */
 	struct event hedge_timer;    /* when to try a second server */
 };
@@ -82,6 +90,8 @@
  * workspace and deadline are set, and a rate token is taken if its workspace needs one. */
 struct snipe_entry_error snipe_entry_call_check(struct snipe_entry_call *call);
 
+/* entry_message.c: the rank of the call in a gate's queue; 0 is served first. */
+int snipe_entry_call_rank(const struct snipe_entry_call *call);
 /* entry_message.c: fills the message that carries the call to a gate; its strings point into
  * the call. */
 void snipe_entry_fill_message(const struct snipe_entry_call *call, struct snipe_msg_call *m,
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <inttypes.h>
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -39,6 +40,11 @@
 /* Announcements that a departure covers are ignored for this long after it. Delayed ones have
  * arrived by then; a server that announces itself later is serving. */
 #define DEPARTURE_VALID_US 15000000
+/* Time constant of the part of the calls that are rejected for lack of slots. */
+#define RECENT_TIME_US 1000000.0
+/* One answer of this many states the cost of its route: it changes slowly, and takes up to a
+ * hundred bytes. */
+#define COST_INTERVAL 4
 /* Interval of the checks whether the server is still usable. */
 #define TICK_US 100000
 /* After the event loop stalled for this long, calls are rejected as expired: the time left was
@@ -57,6 +63,8 @@
 	struct evbuffer *head; /* request line and fields, without the final empty line */
 	struct evbuffer *body;
 	uint64_t fingerprint;
+	uint64_t route;			 /* hash of its name */
+	int is_profiled;		 /* counted by the profile as running */
 	int64_t received_us, started_us; /* started_us 0: waiting */
 	int64_t deadline_us;
 	struct snipe_h1_call *http; /* NULL: not running */
@@ -171,8 +179,20 @@
 	g_free(call);
 }
 
+/* Records the end of a run in the profile. */
+static void end_run(struct snipe_gate_call *call, int is_success)
+{
+	int64_t now = snipe_now_us();
+
+	if (call->is_profiled)
+		snipe_call_profile_end(call->gate->config.profile, now, call->route,
+				       now - call->started_us, is_success);
+	call->is_profiled = 0;
+}
+
 static void end_call(struct snipe_gate_call *call)
 {
+	end_run(call, 0);
 	if (call->started_us)
 		snipe_work_queue_done(&call->gate->queue);
 	else
@@ -180,6 +200,17 @@
 	free_call(call);
 }
 
+/* Returns the part of the recent calls that were rejected for lack of slots. */
+static double rejected_ratio(struct snipe_gate *g, int64_t now_us)
+{
+	double factor = exp(-(double)(now_us - g->recent_at_us) / RECENT_TIME_US);
+
+	g->recent_calls *= factor;
+	g->recent_full *= factor;
+	g->recent_at_us = now_us;
+	return g->recent_calls > 1 ? MIN(g->recent_full / g->recent_calls, 1) : 0;
+}
+
 static void fail_call(struct snipe_gate_call *call, enum snipe_answer_outcome outcome,
 		      const char *reason, int has_arrived)
 {
@@ -187,6 +218,8 @@
 	struct snipe_peer_origin to = call->origin;
 	int has_origin = call->has_origin;
 
+	if (strcmp(reason, SNIPE_GATE_OVERLOADED) == 0)
+		g->recent_full++;
 	log_failure(call, outcome == SNIPE_ANSWER_NOT_RUN ? "not_run" : "unknown", reason);
 	snipe_counters_add(
 		g->config.counters,
@@ -348,6 +381,11 @@
 		a->header_count++;
 	}
 	record_run_time(g, call);
+	end_run(call, r->status < 500);
+	if (g->complete_count++ % COST_INTERVAL == 0)
+		snipe_call_profile_cost(g->config.profile, call->route,
+					snipe_hash64_str(g->config.settings->service),
+					&a->cost);
 	if (snipe_crash_guard_record_success(g->config.guard, snipe_now_us(),
 					     call->fingerprint))
 		snipe_crash_log_cleared(call->fingerprint, g->config.settings->node_id);
@@ -464,6 +502,8 @@
 			    (long long)(left_us / 1000), names->expected_server, g->server.id);
 	evbuffer_add_buffer(call->head, call->body);
 	set_timer(call, call->deadline_us + DEADLINE_GRACE_US);
+	call->is_profiled = 1;
+	snipe_call_profile_start(g->config.profile, now, call->route);
 	call->http = snipe_h1_call_start(&g->pool, call->head, call->is_head, &http_ops, call);
 }
 
@@ -546,6 +586,7 @@
 	call->is_trial = m->is_trial;
 	call->is_head = strcmp(m->method, "HEAD") == 0;
 	call->fingerprint = m->fingerprint;
+	call->route = snipe_hash64_str(m->route);
 	call->received_us = snipe_now_us();
 	call->deadline_us = call->received_us + m->timeout_us;
 	call->head = evbuffer_new();
@@ -591,6 +632,8 @@
 	struct snipe_gate_call *call = new_call(g, from, m, body, body_len);
 
 	snipe_counters_add(g->config.counters, g->count_received, 1);
+	rejected_ratio(g, now);
+	g->recent_calls++;
 	if (!reason && strcmp(m->pool, g->server.service) != 0)
 		reason = SNIPE_GATE_NO_SERVER;
 	if (!reason && is_rejected_suspect(call, now))
@@ -773,7 +816,7 @@
 	snipe_work_queue_init(&g->queue);
 	snipe_h1_pool_init(&g->pool, config->base);
 	snipe_h1_pool_set_address(&g->pool, &config->settings->backend_server);
-	g->ticked_us = snipe_now_us();
+	g->ticked_us = g->recent_at_us = snipe_now_us();
 	g->calls = g_ptr_array_new();
 	g->strikes = g_array_new(FALSE, FALSE, sizeof(struct snipe_strike));
 	g->lost_fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -856,6 +899,7 @@
 	r->waiting = g->queue.count;
 	r->service_us = (int64_t)g->service_us;
 	r->cold_left_us = MAX(g->cold_until_us - now_us, 0);
+	r->rejected_ratio = rejected_ratio(g, now_us);
 	r->is_stopping = g->is_stopping;
 	fill_strikes(g, now_us, r);
 }
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -11,6 +11,7 @@
 
 #include "base/counters.h"
 #include "base/histogram.h"
+#include "core/call_profile.h"
 #include "core/crash_guard.h"
 #include "core/departure.h"
 #include "core/work_queue.h"
@@ -44,6 +45,7 @@
 	struct snipe_peer_task *peers;
 	struct snipe_counters *counters;
 	struct snipe_crash_guard *guard;
+	struct snipe_call_profile *profile;
 	/* Called when the server became usable or unusable, or a trial crashed it: other nodes
 	 * need a new report at once. */
 	void (*changed)(void *arg);
@@ -67,8 +69,12 @@
 	int max_connections; /* limit in the tables; 0: none */
 	struct snipe_work_queue queue;
 	struct snipe_h1_pool pool;
-	double service_us; /* mean run time of calls; 0: no response yet */
-	GPtrArray *calls;  /* by handle; NULL where free */
+	double service_us;		  /* mean run time of calls; 0: no response yet */
+	double recent_calls, recent_full; /* calls that came in, and those that were rejected
+					     for lack of slots; decaying sums */
+	int64_t recent_at_us;		  /* when these sums were last computed */
+	unsigned complete_count; /* counts complete answers, some of which state costs */
+	GPtrArray *calls;	 /* by handle; NULL where free */
 	GHashTable *calls_by_origin;
 	int in_flight;
 	uint64_t crash_id;			 /* of the last crash */
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -54,6 +54,7 @@
 	struct event_base *base;
 	struct snipe_counters counters;
 	struct snipe_crash_guard guard;
+	struct snipe_call_profile profile;
 	struct snipe_peer_task peers;
 	int has_peers;
 	struct snipe_directory directory;
@@ -290,6 +291,7 @@
 	g->entry.quota.interval_us = snipe_directory_interval_us(&g->directory);
 	report->routing_version = g->routing ? g->routing->version : 0;
 	snipe_gate_fill_report(&g->gate, now_us, report);
+	snipe_entry_fill_report(&g->entry, now_us, report);
 	if (snipe_gate_has_unreported_strikes(&g->gate, now_us))
 		snipe_directory_publish(&g->directory);
 	report_suspects(g, now_us, report);
@@ -508,6 +510,7 @@
 	g->was_ready = ready;
 	snipe_counters_set(&g->counters, g->entry.gauge_in_flight, g->entry.in_flight);
 	snipe_suspect_log_update(&g->suspects);
+	snipe_entry_update_chain_limit(&g->entry);
 	if (g->stop_us)
 		continue_stop(g, now);
 	else
@@ -559,6 +562,7 @@
 		.peers = &g->peers,
 		.counters = &g->counters,
 		.guard = &g->guard,
+		.profile = &g->profile,
 		.changed = on_gate_changed,
 		.departed = on_gate_departed,
 		.arg = g,
@@ -570,6 +574,7 @@
 		.peers = &g->peers,
 		.directory = &g->directory,
 		.guard = &g->guard,
+		.profile = &g->profile,
 		.counters = &g->counters,
 	};
 
@@ -687,6 +692,7 @@
 	g->ack_timer = event_new(g->base, -1, 0, on_ack_timer, g);
 	snipe_counters_init(&g->counters);
 	snipe_crash_guard_init(&g->guard);
+	snipe_call_profile_init(&g->profile, snipe_now_us());
 	g->settings_revision = host->settings_revision(host->arg);
 	ret = init_peers(g, process, err);
 	if (ret == 0)
--- a/libs/wire/message.c
+++ b/libs/wire/message.c
@@ -150,6 +150,32 @@
 	pack_slice(pk, &a->chunk);
 	msgpack_pack_int(pk, a->has_arrived);
 	msgpack_pack_int64(pk, a->service_us);
+	msgpack_pack_array(pk, (size_t)a->cost.count * 2);
+	for (int i = 0; i < a->cost.count; i++) {
+		msgpack_pack_uint64(pk, a->cost.services[i].service);
+		msgpack_pack_uint64(pk, (uint64_t)a->cost.services[i].slot_us);
+	}
+}
+
+static void read_cost(struct snipe_reader *r, struct snipe_chain_cost *cost)
+{
+	struct snipe_reader list;
+
+	cost->count = 0;
+	if (r->has_error || r->next >= r->array->size)
+		return;
+	list = snipe_read_array(r);
+	if (r->has_error || list.array->size % 2 ||
+	    list.array->size > 2 * SNIPE_CHAIN_MAX_SERVICES) {
+		r->has_error = 1;
+		return;
+	}
+	cost->count = (int)list.array->size / 2;
+	for (int i = 0; i < cost->count; i++) {
+		cost->services[i].service = snipe_read_uint(&list);
+		cost->services[i].slot_us = (double)snipe_read_uint(&list);
+	}
+	r->has_error |= list.has_error;
 }
 
 static void read_answer(struct snipe_reader *r, struct snipe_msg_answer *a)
@@ -169,6 +195,7 @@
 	read_slice(r, &a->chunk);
 	a->has_arrived = snipe_read_int_range(r, 0, 1);
 	a->service_us = snipe_read_int(r);
+	read_cost(r, &a->cost);
 	if (a->body_len > SNIPE_MAX_BODY_BYTES || a->chunk.len > a->body_len)
 		r->has_error = 1;
 }
@@ -295,7 +322,7 @@
 {
 	static const int counts[SNIPE_MSG_TYPE_COUNT] = {
 		[SNIPE_MSG_HELLO] = 7,	       [SNIPE_MSG_CALL] = 21,
-		[SNIPE_MSG_BODY] = 1,	       [SNIPE_MSG_ANSWER] = 14,
+		[SNIPE_MSG_BODY] = 1,	       [SNIPE_MSG_ANSWER] = 15,
 		[SNIPE_MSG_RETRY_ASK] = 1,     [SNIPE_MSG_RETRY_ANSWER] = 1,
 		[SNIPE_MSG_QUOTA_ASK] = 3,     [SNIPE_MSG_QUOTA_GRANT] = 5,
 		[SNIPE_MSG_QUOTA_RETURN] = 3,  [SNIPE_MSG_DEDUP_CLAIM] = 3,
--- a/libs/wire/message.h
+++ b/libs/wire/message.h
@@ -16,6 +16,7 @@
 #include "base/buffer.h"
 #include "base/hash.h"
 #include "core/balancer.h"
+#include "core/call_profile.h"
 #include "core/control_state.h"
 #include "core/membership.h"
 
@@ -117,7 +118,9 @@
 	int64_t retry_after_us;
 	struct snipe_load_report load;
 	int has_arrived; /* the backend server received the request; it may not have run it */
-	int64_t service_us; /* mean time that a request runs on this backend server */
+	int64_t service_us;	      /* mean time that a request runs on this backend server */
+	struct snipe_chain_cost cost; /* of such a request over its call chain; empty: not
+					 stated. Missing in the answers of earlier builds */
 	struct snipe_header headers[SNIPE_MAX_HEADERS];
 	int header_count;
 	uint64_t body_len;
--- a/libs/wire/report.c
+++ b/libs/wire/report.c
@@ -6,9 +6,12 @@
 #include "wire/pack.h"
 
 /* Fields of the datagram, including the version. */
-#define REPORT_FIELD_COUNT 18
+#define REPORT_FIELD_COUNT 20
 /* Demand is encoded in thousandths of a request per second. */
 #define DEMAND_SCALE 1000
+/* Parts and slots are encoded in thousandths. */
+#define RATIO_SCALE 1000
+#define SLOTS_SCALE 1000
 
 void snipe_report_encode(const struct snipe_node_report *r, struct snipe_buffer *out)
 {
@@ -46,6 +49,13 @@
 		msgpack_pack_uint32(&pk, r->quotas[i].admitted);
 		msgpack_pack_uint32(&pk, (uint32_t)(r->quotas[i].demand * DEMAND_SCALE));
 	}
+	msgpack_pack_int(&pk, (int)(r->rejected_ratio * RATIO_SCALE));
+	msgpack_pack_array(&pk, (size_t)r->demand_count * 3);
+	for (int i = 0; i < r->demand_count; i++) {
+		msgpack_pack_uint64(&pk, r->demands[i].service);
+		msgpack_pack_int(&pk, r->demands[i].rank);
+		msgpack_pack_uint32(&pk, (uint32_t)(r->demands[i].slots * SLOTS_SCALE));
+	}
 }
 
 /* Opens an array of at most max entries of the given number of fields each. Returns the number
@@ -83,6 +93,23 @@
 	in->has_error |= list.has_error;
 }
 
+/* Reads the fields that earlier builds do not send. */
+static void read_later_fields(struct snipe_reader *in, struct snipe_node_report *r)
+{
+	struct snipe_reader list;
+
+	if (in->has_error || in->next >= in->array->size)
+		return;
+	r->rejected_ratio = (double)snipe_read_int_range(in, 0, RATIO_SCALE) / RATIO_SCALE;
+	r->demand_count = begin_list(in, &list, 3, SNIPE_REPORT_MAX_DEMANDS);
+	for (int i = 0; i < r->demand_count; i++) {
+		r->demands[i].service = snipe_read_uint(&list);
+		r->demands[i].rank = snipe_read_int_range(&list, 0, INT32_MAX);
+		r->demands[i].slots = (double)snipe_read_uint(&list) / SLOTS_SCALE;
+	}
+	in->has_error |= list.has_error;
+}
+
 static int read_fields(struct snipe_reader *in, void *out)
 {
 	struct snipe_node_report *r = out;
@@ -106,6 +133,7 @@
 	r->service_us = snipe_read_int(in);
 	r->cold_left_us = snipe_read_int(in);
 	read_lists(in, r);
+	read_later_fields(in, r);
 	return in->has_error ? SNIPE_ERR_SYNTAX : 0;
 }
 
--- a/libs/wire/report.h
+++ b/libs/wire/report.h
@@ -11,6 +11,7 @@
 
 #include "base/buffer.h"
 #include "config/tables.h"
+#include "core/chain_limit.h"
 #include "core/crash_guard.h"
 #include "core/fleet_quota.h"
 
@@ -24,6 +25,7 @@
 #define SNIPE_REPORT_MAX_BYTES 1400
 #define SNIPE_REPORT_MAX_QUOTAS 80
 #define SNIPE_REPORT_MAX_STRIKES 24
+#define SNIPE_REPORT_MAX_DEMANDS 24
 
 enum snipe_server_state {
 	SNIPE_SERVER_NONE, /* not announced, or gone */
@@ -54,6 +56,10 @@
 	int cleared_count;
 	struct snipe_quota_report quotas[SNIPE_REPORT_MAX_QUOTAS];
 	int quota_count;
+	/* The fields below are missing in the reports of earlier builds. */
+	double rejected_ratio; /* recent calls that were rejected for lack of slots, 0 to 1 */
+	struct snipe_chain_demand demands[SNIPE_REPORT_MAX_DEMANDS]; /* of client requests */
+	int demand_count;
 };
 
 void snipe_report_encode(const struct snipe_node_report *r, struct snipe_buffer *out);
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "gateway/entry.h"
 #include "gateway/gate.h"
 #include "support/gateway.h"
@@ -39,10 +40,12 @@
 	struct snipe_directory directory;
 	struct snipe_counters counters;
 	struct snipe_crash_guard guard;
+	struct snipe_call_profile profile;
 	struct snipe_entry entry;
 	struct snipe_routing *routing = nullptr;
 	std::vector<ReceivedCall> calls;
 	int cancel_count = 0;
+	struct snipe_chain_cost cost = {}; // stated by the answers of the servers
 
 	static void on_call(void *arg, const struct snipe_peer_origin *from,
 			    const struct snipe_message *m, const char *body, size_t len)
@@ -86,6 +89,7 @@
 
 		snipe_counters_init(&counters);
 		snipe_crash_guard_init(&guard);
+		snipe_call_profile_init(&profile, snipe_now_us());
 		init_peer(&own, loop.base, "own");
 		strcpy(settings.node_id, "own");
 		strcpy(settings.service, "home");
@@ -111,6 +115,7 @@
 		config.peers = &own;
 		config.directory = &directory;
 		config.guard = &guard;
+		config.profile = &profile;
 		config.counters = &counters;
 		ASSERT_EQ(snipe_entry_init(&entry, &config, &err), 0) << err.text;
 	}
@@ -187,7 +192,7 @@
 	}
 	// Sends reports of both nodes that their servers are ready, and waits until they are
 	// usable; a node that stops reporting gets no calls.
-	void send_reports()
+	void send_reports(const struct snipe_chain_demand *demand = nullptr, int busy = 0)
 	{
 		struct snipe_buffer buf;
 		struct sockaddr_storage ss;
@@ -204,6 +209,11 @@
 			r.sequence = sequence;
 			r.server = SNIPE_SERVER_READY;
 			r.limit = 10;
+			r.running = busy;
+			if (demand) {
+				r.demands[0] = *demand;
+				r.demand_count = 1;
+			}
 			snipe_buffer_init(&buf);
 			snipe_report_encode(&r, &buf);
 			sendto(report_sockets[i], buf.data, buf.len, 0, (struct sockaddr *)&ss,
@@ -214,7 +224,9 @@
 			struct snipe_service_pool *p = snipe_directory_pool(&directory, "tips");
 			return p && p->placement.size == 2 &&
 			       p->placement.servers[0].is_usable &&
-			       p->placement.servers[1].is_usable;
+			       p->placement.servers[1].is_usable &&
+			       p->placement.servers[0].load.running == busy &&
+			       p->placement.servers[1].load.running == busy;
 		});
 	}
 	Socket connect_and_send(const std::string &path, const std::string &fields = "",
@@ -262,6 +274,7 @@
 		a->outcome = outcome;
 		a->has_arrived = has_arrived;
 		a->load.limit = 10;
+		a->cost = cost;
 		if (outcome == SNIPE_ANSWER_COMPLETE) {
 			a->status = http_status;
 			a->headers[0] = {{"Signature", 9}, {"s", 1}};
@@ -589,3 +602,77 @@
 	EXPECT_EQ(calls[0].path, "/open/x")
 		<< "calls of the backend server beside the node are still served";
 }
+
+// A service at the end of the chain has 20 slots, and the fleet asks for twenty times as many.
+TEST_F(Entry, RejectsAtOnceWhatAServiceDeeperInTheChainCannotComplete)
+{
+	const uint64_t tips = snipe_hash64_str("tips");
+	struct snipe_chain_demand demand = {tips, 16, 200};
+	double tokens;
+	int rejected = 0, admitted = 0;
+
+	build_default_tables();
+	routing->workspaces[0].rate = 1000;
+	routing->workspaces[0].burst = 1000;
+	apply_tables();
+	cost = {{{tips, 100000.0}}, 1};
+	Socket first = connect_and_send("/read/1");
+	ASSERT_TRUE(wait_for_calls(1));
+	reply(calls[0], SNIPE_ANSWER_COMPLETE);
+	ASSERT_EQ(status(first), 200);
+
+	send_reports(&demand, 10);
+	snipe_entry_update_chain_limit(&entry);
+	tokens = available_tokens();
+	for (int i = 0; i < 20; i++) {
+		Socket s = Socket::connect_to(settings.caller_listen);
+		size_t before = calls.size();
+
+		send(s, "/read/2");
+		loop.until([&] { return s.has("\r\n\r\n") || calls.size() > before; });
+		if (calls.size() > before) {
+			reply(calls.back(), SNIPE_ANSWER_COMPLETE);
+			admitted++;
+			continue;
+		}
+		rejected++;
+		EXPECT_EQ(s.in.substr(0, 12), "HTTP/1.1 503");
+		EXPECT_NE(s.in.find("Retry-After: "), std::string::npos);
+		EXPECT_NE(s.in.find("chain_overloaded"), std::string::npos);
+	}
+	EXPECT_GE(rejected, 17);
+	EXPECT_LE(admitted, 3);
+	// What was rejected takes no rate.
+	EXPECT_GE(available_tokens(), tokens - admitted - 0.5);
+
+	// The parent of an inner call holds a slot, and its work would be lost.
+	Socket inner = connect_and_send("/open/1", "", "");
+	size_t before = calls.size();
+	ASSERT_TRUE(wait_for_calls(before + 1));
+}
+
+TEST_F(Entry, AdmitsEverythingAgainWhenTheServiceHasRoom)
+{
+	const uint64_t tips = snipe_hash64_str("tips");
+	struct snipe_chain_demand much = {tips, 16, 200}, little = {tips, 16, 1};
+
+	apply_default_tables();
+	cost = {{{tips, 100000.0}}, 1};
+	Socket first = connect_and_send("/read/1");
+	ASSERT_TRUE(wait_for_calls(1));
+	reply(calls[0], SNIPE_ANSWER_COMPLETE);
+	ASSERT_EQ(status(first), 200);
+	send_reports(&much, 10);
+	snipe_entry_update_chain_limit(&entry);
+	send_reports(&little, 2);
+	snipe_entry_update_chain_limit(&entry);
+	for (int i = 0; i < 10; i++) {
+		Socket s = Socket::connect_to(settings.caller_listen);
+		size_t before = calls.size();
+
+		send(s, "/read/2");
+		ASSERT_TRUE(wait_for_calls(before + 1)) << i;
+		reply(calls.back(), SNIPE_ANSWER_COMPLETE);
+		EXPECT_EQ(status(s), 200);
+	}
+}
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "gateway/gate.h"
 #include "support/gateway.h"
 #include "support/loop.h"
@@ -20,6 +21,7 @@
 	enum snipe_answer_outcome outcome = SNIPE_ANSWER_COMPLETE;
 	int status = 0, arrived = 0;
 	std::string reason, body;
+	struct snipe_chain_cost cost = {};
 
 	static void on_reply(void *arg, int err, const struct snipe_message *m,
 			     const char *body, size_t len)
@@ -34,6 +36,7 @@
 		a->status = m->u.answer.status;
 		a->arrived = m->u.answer.has_arrived;
 		a->reason = m->u.answer.reason;
+		a->cost = m->u.answer.cost;
 		a->body.assign(body ? body : "", len);
 	}
 };
@@ -46,6 +49,7 @@
 	struct snipe_gateway_settings settings = {};
 	struct snipe_counters counters;
 	struct snipe_crash_guard guard;
+	struct snipe_call_profile profile;
 	struct snipe_gate gate;
 	std::vector<std::unique_ptr<Socket>> connections;
 	std::vector<struct snipe_departure> departures;
@@ -57,6 +61,7 @@
 
 		snipe_counters_init(&counters);
 		snipe_crash_guard_init(&guard);
+		snipe_call_profile_init(&profile, snipe_now_us());
 		init_peer(&own, loop.base, "gate");
 		init_peer(&caller, loop.base, "caller");
 		strcpy(settings.node_id, "gate");
@@ -69,6 +74,7 @@
 		config.peers = &own;
 		config.counters = &counters;
 		config.guard = &guard;
+		config.profile = &profile;
 		config.changed = [](void *arg) { static_cast<Gate *>(arg)->changes++; };
 		config.departed = [](void *arg, const struct snipe_departure *d) {
 			static_cast<Gate *>(arg)->departures.push_back(*d);
@@ -706,3 +712,44 @@
 	EXPECT_EQ(b.outcome, SNIPE_ANSWER_NOT_RUN);
 	EXPECT_EQ(b.reason, SNIPE_GATE_EXPIRED);
 }
+
+// The entries admit client requests by the cost that answers state.
+TEST_F(Gate, AnswersStateWhatARequestOfTheirRouteCosts)
+{
+	double cost = 0;
+
+	announce("i-1", SNIPE_SERVER_READY, 1);
+	for (int i = 0; i < 40; i++) {
+		Answer a;
+
+		call(a);
+		Socket *s = wait_for_request();
+		ASSERT_TRUE(s);
+		loop.run_ms(50);
+		respond(s);
+		ASSERT_TRUE(answered(a));
+		if (a.cost.count > 0)
+			cost = snipe_chain_cost_at(&a.cost, snipe_hash64_str("tips"));
+	}
+	EXPECT_GE(cost, 50000);
+	EXPECT_LT(cost, 500000);
+}
+
+TEST_F(Gate, ReportsThePartOfTheCallsThatItRejectsForLackOfSlots)
+{
+	struct snipe_node_report r = {};
+	Answer running, rejected[3];
+
+	announce("i-1", SNIPE_SERVER_READY, 1, 1000, 1);
+	call(running);
+	ASSERT_TRUE(wait_for_request());
+	for (Answer &a : rejected) {
+		call(a, true, "r2", 5000000, 0);
+		ASSERT_TRUE(answered(a));
+		EXPECT_EQ(a.reason, "overloaded");
+	}
+	snipe_gate_fill_report(&gate, snipe_now_us(), &r);
+	EXPECT_NEAR(r.rejected_ratio, 0.75, 0.1);
+	snipe_gate_fill_report(&gate, snipe_now_us() + 10000000, &r);
+	EXPECT_EQ(r.rejected_ratio, 0);
+}
--- a/tests/wire/report_test.cc
+++ b/tests/wire/report_test.cc
@@ -33,6 +33,9 @@
 	r.cleared_count = 2;
 	r.quotas[0] = {77, 1000, 12.5f};
 	r.quota_count = 1;
+	r.rejected_ratio = 0.25;
+	r.demands[0] = {UINT64_MAX, 34, 1.5};
+	r.demand_count = 1;
 	return r;
 }
 
@@ -69,6 +72,11 @@
 	EXPECT_EQ(out.quotas[0].workspace, 77u);
 	EXPECT_EQ(out.quotas[0].admitted, 1000u);
 	EXPECT_FLOAT_EQ(out.quotas[0].demand, 12.5f);
+	EXPECT_DOUBLE_EQ(out.rejected_ratio, 0.25);
+	ASSERT_EQ(out.demand_count, 1);
+	EXPECT_EQ(out.demands[0].service, UINT64_MAX);
+	EXPECT_EQ(out.demands[0].rank, 34);
+	EXPECT_DOUBLE_EQ(out.demands[0].slots, 1.5);
 	snipe_buffer_finish(&buf);
 }
 
@@ -92,6 +100,28 @@
 	snipe_buffer_finish(&buf);
 }
 
+// During an update of a fleet, reports of the build before have two fields less.
+TEST(Report, ReportsOfTheBuildBeforeAreAccepted)
+{
+	struct snipe_node_report in = make_report(), out;
+	struct snipe_buffer buf;
+
+	in.rejected_ratio = 0;
+	in.demand_count = 0;
+	snipe_buffer_init(&buf);
+	snipe_report_encode(&in, &buf);
+	/* An array of 16 or more entries begins with 0xdc and two bytes of length. The last two
+	 * fields are a zero and an empty array, of one byte each. */
+	ASSERT_EQ((uint8_t)buf.data[0], 0xdc);
+	ASSERT_EQ(buf.data[2], 20);
+	buf.data[2] = 18;
+	ASSERT_EQ(snipe_report_decode(buf.data, buf.len - 2, &out), 0);
+	EXPECT_EQ(out.quota_count, 1);
+	EXPECT_EQ(out.rejected_ratio, 0);
+	EXPECT_EQ(out.demand_count, 0);
+	snipe_buffer_finish(&buf);
+}
+
 // A report with a full table of workspaces must fit into one datagram of the usual MTU.
 TEST(Report, ReportWithAllQuotasDecodes)
 {
