gateway: say node_lost when the node beside the server was lost

Cause: a request that ended because its node was lost was logged and answered with reason response_lost, which sends a search to the server beside that node.

Test: ARequestWhoseNodeWasLostSaysSo, response_lost without the change.

--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -24,6 +24,8 @@
 #define HEDGE_DELAY_EXTRA_US 100000
 /* Weight of one attempt in the moving mean of attempt times, which covers about the last 20. */
 #define ATTEMPT_TIME_WEIGHT 0.05
+/* Why an attempt failed whose node was lost after the call had left for it. */
+#define NODE_LOST "node_lost"
 /* Shortest Retry-After of a rejection: a few round trips. */
 #define RETRY_AFTER_MIN_US 50000
 /* Mean Retry-After beyond the shortest one, as a part of the route's target latency: the retry
@@ -272,9 +274,12 @@
 /* Ends a call that has no open attempt and is not retried. */
 static void end_failed_call(struct snipe_entry_call *call)
 {
-	static const struct snipe_entry_error unknown = {502, "response_lost", 0};
+	struct snipe_entry_error unknown = {502, "response_lost", 0};
 	int64_t now = snipe_now_us();
 
+	if (strcmp(call->last_reason, NODE_LOST) == 0)
+		unknown.reason = NODE_LOST;
+
 	if (respond_saved_failure(call) == 0)
 		return;
 	record_latency(call, 1);
@@ -400,7 +405,7 @@
 	if (err) {
 		not_run = err == SNIPE_ERR_UNAVAILABLE;
 		end_attempt(a, SNIPE_OUTCOME_FAILED);
-		on_attempt_failed(call, not_run ? "node_unreachable" : "node_lost", not_run,
+		on_attempt_failed(call, not_run ? "node_unreachable" : NODE_LOST, not_run,
 				  !not_run);
 		return;
 	}
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -676,3 +676,17 @@
 		EXPECT_EQ(status(s), 200);
 	}
 }
+
+// A caller's log search must lead to the node that was lost, not to the server beside it.
+TEST_F(Entry, ARequestWhoseNodeWasLostSaysSo)
+{
+	apply_default_tables();
+	Socket s = connect_and_send("/book/1", "", "key1", "POST");
+	ASSERT_TRUE(wait_for_calls(1));
+	int lost = calls[0].node == &servers[0] ? 0 : 1;
+
+	snipe_peer_task_finish(&servers[lost]);
+	EXPECT_EQ(status(s), 502);
+	EXPECT_NE(s.in.find("node_lost"), std::string::npos);
+	init_peer(&servers[lost], loop.base, "again");
+}
