gateway: count crash strikes only for what was shown

Causes, both in the gate: a complete 5xx response cleared the strikes of a request that crashes servers, though the server may have been failing because of it; and a call whose connection the server refused was counted among those that ran when it crashed, though it never got there.

Change: only a response below 500 clears strikes, as at the entry, and a refused call gets none.

Tests: AFailureOfTheServerClearsNoStrikes and ARequestThatReachedNoServerGetsNoStrike, both fail without the change.

--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -58,6 +58,7 @@
 	int has_origin; /* the sender waits for the answer */
 	int is_idempotent;
 	int is_head;
+	int is_refused;	       /* the server refused its connection: it never got there */
 	int is_trial;	       /* of a request suspected of crashing servers */
 	char *request_id;      /* empty: not sent by the client */
 	struct evbuffer *head; /* request line and fields, without the final empty line */
@@ -315,7 +316,7 @@
 	for (guint i = 0; i < g->calls->len; i++) {
 		const struct snipe_gate_call *call = g->calls->pdata[i];
 
-		if (call && call->started_us)
+		if (call && call->started_us && !call->is_refused)
 			add_strike(g, call->fingerprint);
 	}
 	snipe_log(SNIPE_LOG_WARNING, "server_crashed",
@@ -386,8 +387,9 @@
 		snipe_call_profile_cost(g->config.profile, call->route,
 					snipe_hash64_str(g->config.settings->service),
 					&a->cost);
-	if (snipe_crash_guard_record_success(g->config.guard, snipe_now_us(),
-					     call->fingerprint))
+	/* A server that is failing may answer and then crash. */
+	if (r->status < 500 && snipe_crash_guard_record_success(g->config.guard, snipe_now_us(),
+								call->fingerprint))
 		snipe_crash_log_cleared(call->fingerprint, g->config.settings->node_id);
 	snipe_counters_add(g->config.counters, g->count_complete, 1);
 	end_call(call);
@@ -428,6 +430,7 @@
 		on_response(call, response);
 		break;
 	case SNIPE_H1_NOT_CONNECTED:
+		call->is_refused = 1;
 		if (!g->is_down)
 			record_crash(g, "connection_refused");
 		g->is_down = 1;
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -615,6 +615,39 @@
 	EXPECT_EQ(r.strikes[0].fingerprint, 99u);
 }
 
+// A server's own failure is no sign that the request does no harm.
+TEST_F(Gate, AFailureOfTheServerClearsNoStrikes)
+{
+	struct snipe_crash_view v;
+	Answer a;
+
+	snipe_crash_guard_record_strike(&guard, snipe_now_us(), 99, 1);
+	announce("i-1", SNIPE_SERVER_READY, 1);
+	call(a, true, "r", 5000000, 3000000, 99);
+	Socket *s = wait_for_request();
+	ASSERT_TRUE(s);
+	respond(s, "500 Failed");
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.status, 500);
+	snipe_crash_guard_view(&guard, 99, &v);
+	EXPECT_EQ(v.strikes, 1);
+}
+
+TEST_F(Gate, ARequestThatReachedNoServerGetsNoStrike)
+{
+	struct snipe_crash_view v;
+	Answer a;
+
+	announce("i-1", SNIPE_SERVER_READY, 1);
+	shutdown(server.fd, SHUT_RDWR); // its port refuses connections from now on
+	call(a, true, "r", 5000000, 3000000, 99);
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_FALSE(a.arrived);
+	snipe_crash_guard_view(&guard, 99, &v);
+	EXPECT_EQ(v.strikes, 0);
+}
+
 TEST_F(Gate, ARequestThatBecameSuspectWhileItWaitedIsRejected)
 {
 	Answer running, waiting, trial;
