--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -130,12 +130,24 @@
 			    (unsigned long long)h->total);
 }
 
+static void print_link_counts(const struct snipe_link_counts *c, struct snipe_buffer *out)
+{
+	snipe_buffer_printf(out,
+			    "snipescale_links_suspected_total %llu\n"
+			    "snipescale_links_resumed_total %llu\n"
+			    "snipescale_link_messages_resent_total %llu\n"
+			    "snipescale_links_ended_with_requests_total %llu\n",
+			    (unsigned long long)c->suspected, (unsigned long long)c->resumed,
+			    (unsigned long long)c->resent, (unsigned long long)c->ended);
+}
+
 static void print_metrics(struct gateway *g, struct snipe_buffer *out)
 {
 	snipe_counters_print(&g->counters, out);
 	print_quantiles(&g->entry.latency, "request_latency", out);
 	print_quantiles(&g->gate.wait_time_us, "gate_wait", out);
 	print_quantiles(&g->gate.run_time_us, "gate_run", out);
+	print_link_counts(snipe_peer_link_counts(&g->peers), out);
 }
 
 static void print_state(struct gateway *g, struct snipe_buffer *out)
