--- a/libs/core/chain_limit.c
+++ b/libs/core/chain_limit.c
@@ -12,8 +12,9 @@
 /* Part of the slots that is divided among the ranks that are not admitted in full, so that no
  * kind of request is shut out for as long as the shortage lasts. */
 #define RESERVE_RATIO 0.1
-/* Demand is reported for services that are busier than this: the others are not short soon. */
-#define BUSY_RATIO 0.5
+/* Demand is reported for services that are busier than this: the others are not short soon, and
+ * reports go to all nodes. */
+#define BUSY_RATIO 0.75
 /* A request that needs less than this part of the mean slot time is cut in proportion. */
 #define SMALL_COST_RATIO 0.25
 /* A service is limited from this part of busy slots on: a demand above its slots is an error of
--- a/libs/core/link_watch.c
+++ b/libs/core/link_watch.c
@@ -5,7 +5,7 @@
 
 /* Silence before a ping: longer than most calls between nodes take, so that few calls cost a
  * ping. */
-#define PING_AFTER_US 100000
+#define PING_AFTER_US 200000
 /* A ping is overdue after this multiple of the round trip. The floor covers an event loop that
  * is busy for a moment, the ceiling ends the wait for a peer that was slow before. */
 #define OVERDUE_ROUND_TRIPS 4.0
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -42,9 +42,11 @@
 #define DEPARTURE_VALID_US 15000000
 /* Time constant of the part of the calls that are rejected for lack of slots. */
 #define RECENT_TIME_US 1000000.0
-/* One answer of this many states the cost of its route: it changes slowly, and takes up to a
- * hundred bytes. */
-#define COST_INTERVAL 4
+/* One answer of this many states the cost of its route, which changes slowly and takes up to a
+ * hundred bytes: more of the first ones, so that the entries soon know it. */
+#define COST_INTERVAL 16
+#define COST_INTERVAL_FIRST 4
+#define COST_FIRST_ANSWERS 64
 /* Interval of the checks whether the server is still usable. */
 #define TICK_US 100000
 /* After the event loop stalled for this long, calls are rejected as expired: the time left was
@@ -356,6 +358,13 @@
 	return snipe_h1_find_value(response, "Content-Encoding") ? "encoded" : NULL;
 }
 
+static int is_cost_due(struct snipe_gate *g)
+{
+	unsigned count = g->complete_count++;
+
+	return count % (count < COST_FIRST_ANSWERS ? COST_INTERVAL_FIRST : COST_INTERVAL) == 0;
+}
+
 static void reply_response(struct snipe_gate_call *call, const struct snipe_h1_message *r)
 {
 	struct snipe_gate *g = call->gate;
@@ -383,7 +392,7 @@
 	}
 	record_run_time(g, call);
 	end_run(call, r->status < 500);
-	if (g->complete_count++ % COST_INTERVAL == 0)
+	if (is_cost_due(g))
 		snipe_call_profile_cost(g->config.profile, call->route,
 					snipe_hash64_str(g->config.settings->service),
 					&a->cost);
--- a/libs/node/peer_link.c
+++ b/libs/node/peer_link.c
@@ -103,14 +103,11 @@
 /* Adds a message to the session. */
 static int push(struct snipe_link *link, const struct snipe_message *msg)
 {
-	struct snipe_buffer buf;
-	int ret;
+	struct snipe_buffer *buf = &link->config->scratch;
 
-	snipe_buffer_init(&buf);
-	snipe_message_encode(msg, &buf);
-	ret = snipe_session_push(&link->session, buf.data, buf.len);
-	snipe_buffer_finish(&buf);
-	return ret;
+	snipe_buffer_clear(buf);
+	snipe_message_encode(msg, buf);
+	return snipe_session_push(&link->session, buf->data, buf->len);
 }
 
 void snipe_link_send(struct snipe_link *link, struct snipe_message *msg, const char *body,
--- a/libs/node/peer_link.h
+++ b/libs/node/peer_link.h
@@ -53,6 +53,7 @@
 	const struct snipe_link_ops *ops;
 	void *arg;
 	struct snipe_link_counts counts;
+	struct snipe_buffer scratch;
 };
 
 /* Fields are private but for those named readable. */
--- a/libs/node/peer_task.c
+++ b/libs/node/peer_task.c
@@ -9,7 +9,7 @@
 #include "node/peer_message.h"
 
 /* Interval of the checks of all links: short compared to the times of core/link_watch. */
-#define TICK_US 25000
+#define TICK_US 50000
 /* An accepted connection without HELLO is closed after this time. */
 #define GREETING_MAX_US 10000000
 /* All links are checked after a silent one was found, at most once in this time. */
@@ -418,6 +418,7 @@
 	rc = open_listener(t, &config->listen, err);
 	if (rc < 0)
 		return rc;
+	snipe_buffer_init(&t->links_config.scratch);
 	t->links = g_ptr_array_new();
 	t->accepted = g_ptr_array_new();
 	t->by_address = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -453,6 +454,7 @@
 	evconnlistener_free(t->listener);
 	event_free(t->tick);
 	snipe_peer_local_finish(&t->local);
+	snipe_buffer_finish(&t->links_config.scratch);
 	g_ptr_array_free(t->links, TRUE);
 	g_ptr_array_free(t->accepted, TRUE);
 	g_hash_table_destroy(t->by_address);
