node: keep a late greeting from breaking its session

Cause: a second connection states what was taken in when it is opened. If the first one came back to life before the peer read that, the node told the peer a higher number on it. The peer then refused the greeting as one of a node that had forgotten what it acknowledged, and kept the state of the session without a time limit.

Change: while a second connection is under way, the node tells no number on the first one. A session whose continuation fails is kept for the usual time only.

Tests: ALateGreetingDoesNotBreakTheSession fails without the change; NodesThatAreSlowForMomentsLoseNoRequest, on real processes, passed before as well, as the next connection repaired it.

--- a/libs/node/peer_link.c
+++ b/libs/node/peer_link.c
@@ -72,7 +72,9 @@
 {
 	const struct snipe_session *s = &link->session;
 
-	if (link->session_id && link->conn && link->conn->has_greeted &&
+	/* A second connection that is under way has stated a number already: it must not be
+	 * lower than the last one that the peer knows. */
+	if (link->session_id && link->conn && link->conn->has_greeted && !link->next &&
 	    s->received > s->stated &&
 	    (now_us - link->stated_us >= after_us || s->unstated_bytes >= STATE_AFTER_BYTES))
 		write_received(link);
@@ -472,6 +474,8 @@
 			snipe_link_end(link, "refused");
 		return;
 	}
+	if (c != link->conn)
+		return;
 	link->has_connected |= c->is_connected;
 	drop_connection(link);
 	link->lost_us = now;
@@ -547,6 +551,7 @@
 	    link->peer_process != hello->process)
 		return SNIPE_ERR_AUTH;
 	drop_connection(link);
+	link->lost_us = snipe_now_us();
 	if (snipe_session_resume(&link->session, hello->received) < 0)
 		return SNIPE_ERR_SYNTAX;
 	link->conn = c;
--- a/tests/node/peer_task_test.cc
+++ b/tests/node/peer_task_test.cc
@@ -2,12 +2,14 @@
 // as not sent although bytes left, and silent or foreign peers that are not noticed.
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/listener.h>
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -61,6 +63,17 @@
 	{
 		snipe_peer_task_finish(&task);
 	}
+	// The only link that has a connection.
+	struct snipe_link *link() const
+	{
+		for (guint i = 0; i < task.links->len; i++) {
+			auto *l = (struct snipe_link *)g_ptr_array_index(task.links, i);
+
+			if (l && l->conn)
+				return l;
+		}
+		return nullptr;
+	}
 	// Ends the present connections of all links, as a reset does.
 	void cut()
 	{
@@ -336,3 +349,39 @@
 	ASSERT_TRUE(run_until([&] { return r.count > 0; }));
 	EXPECT_EQ(r.err, SNIPE_ERR_UNKNOWN);
 }
+
+// A greeting that the peer reads late states less than was stated since on the connection
+// before.
+TEST_F(PeerTask, ALateGreetingDoesNotBreakTheSession)
+{
+	auto a = std::make_unique<Node>(base, "a", "secret");
+	Node b(base, "b", "secret");
+	Reply r[4];
+
+	a->call(snipe_peer_address(&b.task), "1", &r[0]);
+	ASSERT_TRUE(run_until([&] { return r[0].count > 0; }));
+	b.echo = false;
+	evconnlistener_disable(b.task.listener);
+	bufferevent_disable(b.link()->conn->bev, EV_READ);
+	a->call(snipe_peer_address(&b.task), "2", &r[1]);
+	ASSERT_TRUE(
+		run_until([&] { return a->link()->next && a->link()->next->is_connected; }));
+	uint64_t opened_us = a->link()->next->opened_us;
+	bufferevent_enable(b.link()->conn->bev, EV_READ);
+	ASSERT_TRUE(run_until([&] { return b.calls.size() == 2; }));
+	b.answer(b.calls[1], "two");
+	ASSERT_TRUE(run_until([&] { return r[1].count > 0; }));
+	a->call(snipe_peer_address(&b.task), "3", &r[2]);
+	ASSERT_TRUE(run_until([&] { return b.calls.size() == 3; }));
+	bufferevent_disable(b.link()->conn->bev, EV_READ);
+	evconnlistener_enable(b.task.listener);
+	ASSERT_TRUE(run_until([&] { return snipe_peer_link_counts(&a->task)->resumed > 0; }));
+	EXPECT_EQ(a->link()->conn->opened_us, opened_us) << "the late greeting was accepted";
+	b.answer(b.calls[2], "three");
+	ASSERT_TRUE(run_until([&] { return r[2].count > 0; }));
+	EXPECT_EQ(r[2].body, "three");
+	a->call(snipe_peer_address(&b.task), "4", &r[3]);
+	ASSERT_TRUE(run_until([&] { return b.calls.size() == 4; }));
+	a.reset();
+	EXPECT_TRUE(run_until([&] { return b.cancels == 1; })) << "nobody waits any more";
+}
--- a/tests/process/session_test.cc
+++ b/tests/process/session_test.cc
@@ -116,6 +116,23 @@
 	}
 }
 
+// Second connections are tried while the first ones come back.
+TEST_F(Session, NodesThatAreSlowForMomentsLoseNoRequest)
+{
+	start(100);
+	for (int round = 0; round < 6; round++) {
+		size_t frozen = 1 + round % 2 * 2;
+
+		send(20);
+		kill(nodes[frozen]->process->pid(), SIGSTOP);
+		send(20);
+		loop.run_ms(250 + 60 * round);
+		kill(nodes[frozen]->process->pid(), SIGCONT);
+		send(20);
+	}
+	expect_each_served_once();
+}
+
 // What a killed node had may have run; its next process must not run it again.
 TEST_F(Session, ARestartDuringSilenceRunsNothingTwice)
 {
