Measure the lag of the event loop, and log failed accepts

The logs say how single requests end and nothing about the node, so the hypotheses of the flood of clients (docs/incidents) cannot be told apart.

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -189,20 +189,20 @@
 	return 1;
 }
 
-static void on_request(void *arg, struct snipe_h1_request *req)
+/* Sends a request on or answers it. Returns whether it was admitted. */
+static int admit_request(struct snipe_entry *e, struct snipe_h1_request *req)
 {
-	struct snipe_entry *e = arg;
 	struct snipe_entry_call *call = new_call(e, req);
 	struct snipe_entry_error error = snipe_entry_call_check(call);
 
 	snipe_counters_add(e->config.counters, e->count_requests, 1);
 	if (error.status) {
 		snipe_entry_call_fail(call, &error);
-		return;
+		return 0;
 	}
 	if (e->is_stopping && call->workspace >= 0) {
 		snipe_entry_call_fail_with(call, 503, "stopping", RETRY_AFTER_STOPPING_US);
-		return;
+		return 0;
 	}
 	call->entry_route = find_entry_route(e, call->route->name);
 	call->service = choose_service(call->entry_route, call->route);
@@ -215,22 +215,34 @@
 					 call->fingerprint) &&
 	    !start_trial(call)) {
 		snipe_entry_call_fail_with(call, 503, SNIPE_GATE_CRASH_SUSPECT, 0);
-		return;
+		return 0;
 	}
 	if (call->is_inner) {
 		snipe_call_profile_call(e->config.profile, call->received_us,
 					snipe_hash64_str(call->route->name));
 	} else if (!admit_chain(call)) {
 		snipe_entry_call_reject_not_run(call, SNIPE_ENTRY_CHAIN_OVERLOADED);
-		return;
+		return 0;
 	}
 	if (!call->is_inner && !snipe_entry_limit_admit(&call->entry_route->limit)) {
 		snipe_entry_call_reject_not_run(call, SNIPE_GATE_OVERLOADED);
-		return;
+		return 0;
 	}
 	call->is_limited = !call->is_inner;
 	snipe_entry_call_start_timer(call);
 	snipe_entry_call_start_attempt(call);
+	return 1;
+}
+
+static void on_request(void *arg, struct snipe_h1_request *req)
+{
+	struct snipe_entry *e = arg;
+	int64_t start = snipe_now_us();
+	int is_admitted = admit_request(e, req);
+
+	snipe_counters_add(e->config.counters,
+			   is_admitted ? e->busy_admitted : e->busy_rejected,
+			   snipe_now_us() - start);
 }
 
 static void on_request_cancelled(void *arg, struct snipe_h1_request *req)
@@ -256,6 +268,9 @@
 	e->count_cancelled = snipe_counters_get(c, "requests_cancelled_total", "");
 	e->count_retries = snipe_counters_get(c, "requests_retried_total", "");
 	e->gauge_in_flight = snipe_counters_get(c, "requests_in_flight", "");
+	e->busy_rejected = snipe_counters_get(c, "busy_us_total", "work=\"reject\"");
+	e->busy_admitted = snipe_counters_get(c, "busy_us_total", "work=\"admit\"");
+	e->busy_answered = snipe_counters_get(c, "busy_us_total", "work=\"answer\"");
 }
 
 int snipe_entry_init(struct snipe_entry *e, const struct snipe_entry_config *config,
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -57,6 +57,7 @@
 	struct snipe_histogram latency; /* of served client requests, microseconds */
 	int count_requests, count_served, count_retries, count_rejected, count_failed,
 		count_cancelled, count_chain_rejected, gauge_in_flight;
+	int busy_rejected, busy_admitted, busy_answered; /* processor time by kind of work */
 };
 
 /* Listens for requests. Returns 0, or a negative error with its reason in err. */
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -391,10 +391,9 @@
 					 SNIPE_ENTRY_COST_WEIGHT);
 }
 
-static void on_answer(void *arg, int err, const struct snipe_message *reply, const char *body,
-		      size_t body_len)
+static void handle_answer(struct snipe_entry_attempt *a, int err,
+			  const struct snipe_message *reply, const char *body, size_t body_len)
 {
-	struct snipe_entry_attempt *a = arg;
 	struct snipe_entry_call *call = a->call;
 	const struct snipe_msg_answer *answer;
 	int not_run;
@@ -422,6 +421,17 @@
 	on_attempt_failed(call, answer->reason, not_run, answer->has_arrived);
 }
 
+static void on_answer(void *arg, int err, const struct snipe_message *reply, const char *body,
+		      size_t body_len)
+{
+	struct snipe_entry_attempt *a = arg;
+	struct snipe_entry *e = a->call->entry;
+	int64_t start = snipe_now_us();
+
+	handle_answer(a, err, reply, body, body_len);
+	snipe_counters_add(e->config.counters, e->busy_answered, snipe_now_us() - start);
+}
+
 /* Chooses a server that this call has not tried. Returns its handle or a negative error. */
 static int choose_server(struct snipe_entry_call *call)
 {
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -634,10 +634,9 @@
 	}
 }
 
-static void on_call(void *arg, const struct snipe_peer_origin *from,
-		    const struct snipe_message *msg, const char *body, size_t body_len)
+static void handle_call(struct snipe_gate *g, const struct snipe_peer_origin *from,
+			const struct snipe_message *msg, const char *body, size_t body_len)
 {
-	struct snipe_gate *g = arg;
 	const struct snipe_msg_call *m = &msg->u.call;
 	int64_t now = snipe_now_us();
 	const char *reason = rejection_reason(g, now);
@@ -658,6 +657,16 @@
 		enqueue_call(call, m);
 }
 
+static void on_call(void *arg, const struct snipe_peer_origin *from,
+		    const struct snipe_message *msg, const char *body, size_t body_len)
+{
+	struct snipe_gate *g = arg;
+	int64_t start = snipe_now_us();
+
+	handle_call(g, from, msg, body, body_len);
+	snipe_counters_add(g->config.counters, g->busy_calls, snipe_now_us() - start);
+}
+
 /* The sender no longer waits for the answer. A running request that is not idempotent
  * continues: aborting it would leave its effect undetermined. */
 static void on_cancel(void *arg, const struct snipe_peer_origin *from,
@@ -814,6 +823,7 @@
 	g->count_complete = snipe_counters_get(c, "gate_complete_total", "");
 	g->count_not_run = snipe_counters_get(c, "gate_failed_total", "outcome=\"not_run\"");
 	g->count_unknown = snipe_counters_get(c, "gate_failed_total", "outcome=\"unknown\"");
+	g->busy_calls = snipe_counters_get(c, "busy_us_total", "work=\"gate_call\"");
 	g->gauge_running = snipe_counters_get(c, "gate_running", "");
 	g->gauge_waiting = snipe_counters_get(c, "gate_waiting", "");
 	g->gauge_limit = snipe_counters_get(c, "gate_limit", "");
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -89,8 +89,8 @@
 	struct event tick;
 	int64_t ticked_us; /* last run of the tick; long ago if the process stalled */
 	struct snipe_histogram wait_time_us, run_time_us;
-	int count_received, count_complete, count_not_run, count_unknown, gauge_running,
-		gauge_waiting, gauge_limit;
+	int count_received, count_complete, count_not_run, count_unknown, busy_calls,
+		gauge_running, gauge_waiting, gauge_limit;
 };
 
 void snipe_gate_init(struct snipe_gate *g, const struct snipe_gate_config *config);
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/log.h"
+#include "core/loop_lag.h"
 #include "gateway/crash_log.h"
 #include "gateway/departure_log.h"
 #include "gateway/directory.h"
@@ -36,6 +37,8 @@
 #define SUSPECT_REPORT_INTERVAL_US 1000000
 /* Interval of the steps of a stop and of log flushes; short compared to the times above. */
 #define TICK_US 100000
+/* Interval of the log lines of a loop that is late. */
+#define LATE_LOG_INTERVAL_US 1000000
 /* Interval of checks of the settings file: changes must take effect within two seconds. */
 #define SETTINGS_CHECK_INTERVAL_US 1000000
 /* A departure is acknowledged once it is stored, or after this long: backend servers wait one
@@ -67,6 +70,14 @@
 	GPtrArray *pending_announcements; /* acknowledged once the departure is stored */
 	struct snipe_h1_server ready, admin, metrics;
 	struct event *sigterm, *sigint, *sighup, *tick, *ack_timer;
+	struct snipe_loop_lag lag;
+	struct load {
+		uint64_t accepted; /* connections of clients */
+		int64_t requests, rejected;
+		int64_t accept_us, read_us, answer_us, gate_us; /* processor time */
+	} logged;	   /* as of the last log line of a late loop */
+	int64_t logged_us; /* when that was */
+	int busy_reports, busy_logs;
 	struct snipe_routing *routing;
 	int64_t stop_us; /* when the stop began; 0: not stopping */
 	int64_t idle_us; /* since when nothing is in flight; 0: not idle */
@@ -141,10 +152,23 @@
 			    (unsigned long long)c->resent, (unsigned long long)c->ended);
 }
 
+static void print_client_connections(const struct snipe_h1_server *s, struct snipe_buffer *out)
+{
+	snipe_buffer_printf(out,
+			    "snipescale_client_connections %d\n"
+			    "snipescale_client_connections_accepted_total %llu\n"
+			    "snipescale_client_accept_us_total %lld\n"
+			    "snipescale_client_read_us_total %lld\n",
+			    s->connection_count, (unsigned long long)s->accepted_count,
+			    (long long)s->accept_time_us, (long long)s->read_time_us);
+}
+
 static void print_metrics(struct gateway *g, struct snipe_buffer *out)
 {
+	print_client_connections(&g->entry.server, out);
 	snipe_counters_print(&g->counters, out);
 	print_quantiles(&g->entry.latency, "request_latency", out);
+	print_quantiles(&g->lag.lags_us, "event_loop_lag", out);
 	print_quantiles(&g->gate.wait_time_us, "gate_wait", out);
 	print_quantiles(&g->gate.run_time_us, "gate_run", out);
 	print_link_counts(snipe_peer_link_counts(&g->peers), out);
@@ -296,10 +320,8 @@
 		MIN(room, SNIPE_CRASH_MAX_REPORTED_STRIKES));
 }
 
-static void on_fill_report(void *arg, int64_t now_us, struct snipe_node_report *report)
+static void fill_report(struct gateway *g, int64_t now_us, struct snipe_node_report *report)
 {
-	struct gateway *g = arg;
-
 	g->entry.quota.interval_us = snipe_directory_interval_us(&g->directory);
 	report->routing_version = g->routing ? g->routing->version : 0;
 	snipe_gate_fill_report(&g->gate, now_us, report);
@@ -314,10 +336,21 @@
 		&g->entry.quota, now_us, report->quotas, SNIPE_REPORT_MAX_QUOTAS);
 }
 
-static void on_reported(void *arg, int64_t now_us, const struct snipe_node_report *r)
+static void count_busy(struct gateway *g, int counter, int64_t since_us)
+{
+	snipe_counters_add(&g->counters, counter, snipe_now_us() - since_us);
+}
+
+static void on_fill_report(void *arg, int64_t now_us, struct snipe_node_report *report)
 {
 	struct gateway *g = arg;
 
+	fill_report(g, now_us, report);
+	count_busy(g, g->busy_reports, now_us);
+}
+
+static void apply_report(struct gateway *g, int64_t now_us, const struct snipe_node_report *r)
+{
 	snipe_fleet_quota_on_report(&g->entry.quota, now_us, snipe_hash64_str(r->node_id),
 				    r->process, r->quotas, r->quota_count);
 	for (int i = 0; i < r->strike_count; i++)
@@ -329,6 +362,14 @@
 			snipe_crash_log_cleared(r->cleared[i], r->node_id);
 }
 
+static void on_reported(void *arg, int64_t now_us, const struct snipe_node_report *r)
+{
+	struct gateway *g = arg;
+
+	apply_report(g, now_us, r);
+	count_busy(g, g->busy_reports, now_us);
+}
+
 static void on_fill_confirm(void *arg, int64_t now_us, uint64_t *routing_version,
 			    int64_t *age_us)
 {
@@ -504,6 +545,67 @@
 		event_base_loopbreak(g->base);
 }
 
+static void flush_log(struct gateway *g)
+{
+	int64_t start = snipe_now_us();
+
+	snipe_log_flush();
+	count_busy(g, g->busy_logs, start);
+}
+
+static struct load current_load(const struct gateway *g)
+{
+	const struct snipe_counters *c = &g->counters;
+	const struct snipe_entry *e = &g->entry;
+
+	return (struct load){
+		.accepted = e->server.accepted_count,
+		.requests = snipe_counters_value(c, e->count_requests),
+		.rejected = snipe_counters_value(c, e->count_rejected),
+		.accept_us = e->server.accept_time_us,
+		.read_us = e->server.read_time_us,
+		.answer_us = snipe_counters_value(c, e->busy_answered),
+		.gate_us = snipe_counters_value(c, g->gate.busy_calls),
+	};
+}
+
+/* Logs what the node worked on since the last line, if its loop was late. */
+static void log_late_loop(struct gateway *g, int64_t now)
+{
+	struct load load, *last = &g->logged;
+	int64_t since = now - g->logged_us, peak;
+
+	if (since < LATE_LOG_INTERVAL_US)
+		return;
+	load = current_load(g);
+	peak = snipe_loop_lag_take_peak(&g->lag);
+	if (peak >= SNIPE_LOOP_LATE_US)
+		snipe_log(
+			SNIPE_LOG_WARNING, "event_loop_late",
+			"lag_ms=%lld since_ms=%lld connections=%d accepted=%llu requests=%lld "
+			"rejected=%lld accept_ms=%lld read_ms=%lld answer_ms=%lld "
+			"gate_ms=%lld",
+			(long long)(peak / 1000), (long long)(since / 1000),
+			g->entry.server.connection_count,
+			(unsigned long long)(load.accepted - last->accepted),
+			(long long)(load.requests - last->requests),
+			(long long)(load.rejected - last->rejected),
+			(long long)((load.accept_us - last->accept_us) / 1000),
+			(long long)((load.read_us - last->read_us) / 1000),
+			(long long)((load.answer_us - last->answer_us) / 1000),
+			(long long)((load.gate_us - last->gate_us) / 1000));
+	*last = load;
+	g->logged_us = now;
+}
+
+static void schedule_tick(struct gateway *g)
+{
+	static const struct timeval tick = {0, TICK_US};
+
+	snipe_loop_lag_schedule(&g->lag, snipe_now_us() + TICK_US);
+	event_add(g->tick, &tick);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct gateway *g = arg;
@@ -512,6 +614,8 @@
 
 	(void)fd;
 	(void)what;
+	snipe_loop_lag_probe(&g->lag, now);
+	log_late_loop(g, now);
 	if (ready != g->was_ready)
 		snipe_log(SNIPE_LOG_INFO, "readiness_changed",
 			  "ready=%d stopping=%d tables=%llx "
@@ -527,7 +631,8 @@
 		continue_stop(g, now);
 	else
 		check_settings(g, now);
-	snipe_log_flush();
+	flush_log(g);
+	schedule_tick(g);
 }
 
 static int init_servers(struct gateway *g, struct snipe_error_text *err)
@@ -674,14 +779,13 @@
 
 static void run_loop(struct gateway *g)
 {
-	static const struct timeval tick = {0, TICK_US};
-
 	signal(SIGPIPE, SIG_IGN);
 	g->sigterm = add_signal(g, SIGTERM, on_stop_signal);
 	g->sigint = add_signal(g, SIGINT, on_stop_signal);
 	g->sighup = add_signal(g, SIGHUP, on_reload_signal);
-	g->tick = event_new(g->base, -1, EV_PERSIST, on_tick, g);
-	event_add(g->tick, &tick);
+	g->tick = event_new(g->base, -1, 0, on_tick, g);
+	g->logged_us = snipe_now_us();
+	schedule_tick(g);
 	event_base_dispatch(g->base);
 	event_free(g->tick);
 	event_free(g->sighup);
@@ -703,6 +807,9 @@
 	g->pending_announcements = g_ptr_array_new();
 	g->ack_timer = event_new(g->base, -1, 0, on_ack_timer, g);
 	snipe_counters_init(&g->counters);
+	snipe_loop_lag_init(&g->lag);
+	g->busy_reports = snipe_counters_get(&g->counters, "busy_us_total", "work=\"report\"");
+	g->busy_logs = snipe_counters_get(&g->counters, "busy_us_total", "work=\"log\"");
 	snipe_crash_guard_init(&g->guard);
 	snipe_call_profile_init(&g->profile, snipe_now_us());
 	g->settings_revision = host->settings_revision(host->arg);
--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/socket.h"
 
 /* Interval at which connections are checked for timeouts. */
@@ -304,8 +305,13 @@
 
 static void on_read(struct bufferevent *bev, void *arg)
 {
+	struct snipe_h1_connection *c = arg;
+	struct snipe_h1_server *s = c->server;
+	int64_t start = snipe_now_us();
+
 	(void)bev;
-	read_requests(arg);
+	read_requests(c);
+	s->read_time_us += snipe_now_us() - start;
 }
 
 static void on_written(struct bufferevent *bev, void *arg)
@@ -341,8 +347,24 @@
 	c->last_active_us = snipe_now_us();
 	LIST_INSERT_HEAD(&s->connections, c, entry);
 	s->connection_count++;
+	s->accepted_count++;
 	bufferevent_setcb(c->bev, on_read, on_written, on_event, c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	s->accept_time_us += snipe_now_us() - c->last_active_us;
+}
+
+static void on_accept_error(struct evconnlistener *l, void *arg)
+{
+	static struct snipe_log_limit limit;
+	const struct snipe_h1_server *s = arg;
+	int err = EVUTIL_SOCKET_ERROR();
+	unsigned suppressed;
+
+	(void)l;
+	if (snipe_log_allow(&limit, snipe_now_us(), 1, &suppressed))
+		snipe_log(SNIPE_LOG_WARNING, "accept_failed",
+			  "err=\"%s\" connections=%d suppressed=%u", g_strerror(err),
+			  s->connection_count, suppressed);
 }
 
 static int is_idle(const struct snipe_h1_connection *c)
@@ -405,6 +427,7 @@
 				       "cannot listen on %s for %s: %s; choose a free address "
 				       "in the settings, or stop the process that uses it",
 				       text, role, g_strerror(errno));
+	evconnlistener_set_error_cb(s->listener, on_accept_error);
 	event_assign(&s->timeout_check, base, -1, EV_PERSIST, on_timeout_check, s);
 	event_add(&s->timeout_check, &interval);
 	return 0;
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -78,6 +78,9 @@
 	struct event timeout_check;
 	LIST_HEAD(snipe_h1_connections, snipe_h1_connection) connections;
 	int connection_count;
+	uint64_t accepted_count; /* connections, since the start */
+	int64_t accept_time_us;	 /* spent accepting connections, since the start */
+	int64_t read_time_us;	 /* spent reading requests, callbacks included */
 	int is_closing;
 	const struct snipe_h1_server_ops *ops;
 	void *arg;
