tests: a flood of clients on new connections (failing)

Four real nodes with 200 descriptors each; clients of one workspace beyond its rate repeat each rejected try on a new connection and leave the last one open.

--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <jansson.h>
 #include <signal.h>
+#include <sys/resource.h>
 
 #include <cstdlib>
 
@@ -622,12 +623,19 @@
 {
 	Node &n = *nodes[node];
 	std::string file = dir_.File("node" + std::to_string(node) + ".json");
+	struct rlimit own, limit;
 
 	WriteFile(file, Settings(n, bootstrap));
 	setenv("SNIPESCALE_NODE_FILE", file.c_str(), 1);
+	getrlimit(RLIMIT_NOFILE, &own);
+	limit = own;
+	if (node_descriptors)
+		limit.rlim_cur = (rlim_t)node_descriptors;
+	setrlimit(RLIMIT_NOFILE, &limit);
 	n.process = std::make_unique<Process>(
 		std::vector<std::string>{"snipescaled", "--platform"},
 		dir_.File("node" + std::to_string(node) + "-" + std::to_string(n.starts++)));
+	setrlimit(RLIMIT_NOFILE, &own);
 }
 
 void Deployment::StartServer(size_t node)
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -241,6 +241,7 @@
 	};
 	std::vector<std::unique_ptr<Node>> nodes;
 	int version = 0;
+	int node_descriptors = 0; // most that a node started from now on may open; 0: any
 
       private:
 	std::string Settings(const Node &n, bool bootstrap) const;
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -127,9 +127,9 @@
 	dup2(null, 0);
 	dup2(out_fd, 1);
 	dup2(err_fd, 2);
-	for (int fd = 3; fd < 256; fd++)
-		if (fd != started[1])
-			close(fd);
+	if (started[1] > 3)
+		close_range(3, (unsigned)started[1] - 1, 0);
+	close_range((unsigned)started[1] + 1, ~0U, 0);
 	execv(program.c_str(), args.data());
 	_exit(127);
 }
