gate: lack of sockets is no crash of the server

Callers saw 503 no_backend_server from services whose servers ran.

Cause: a node that could open no socket to its server, for lack of descriptors, took this for a refused connection. It called the server crashed, gave all running requests a strike, so that innocent ones were rejected as crash suspects, and told all other nodes.

The pool of connections now tells these apart (SNIPE_H1_NO_SOCKET), and the gate answers that the call did not run, which another node can then serve. Gate.LackOfSocketsIsNoCrashOfTheServer fails without the change: reason no_backend_server, and a strike to report.

--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -438,6 +438,9 @@
 	case SNIPE_H1_COMPLETE:
 		on_response(call, response);
 		break;
+	case SNIPE_H1_NO_SOCKET:
+		fail_and_start_next(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_NO_SOCKET, 0);
+		break;
 	case SNIPE_H1_NOT_CONNECTED:
 		call->is_refused = 1;
 		if (!g->is_down)
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -29,6 +29,7 @@
 /* Why the gate returns no response; the reason field of the ANSWER message. */
 #define SNIPE_GATE_OVERLOADED "overloaded"
 #define SNIPE_GATE_NO_SERVER "no_backend_server"
+#define SNIPE_GATE_NO_SOCKET "no_socket"
 #define SNIPE_GATE_DRAINING "draining"
 #define SNIPE_GATE_EXPIRED "expired"
 #define SNIPE_GATE_CRASH_SUSPECT "crash_suspect"
--- a/libs/h1/pool.c
+++ b/libs/h1/pool.c
@@ -281,7 +281,7 @@
 {
 	(void)fd;
 	(void)what;
-	end_call(arg, SNIPE_H1_NOT_CONNECTED);
+	end_call(arg, SNIPE_H1_NO_SOCKET);
 }
 
 struct snipe_h1_call *snipe_h1_call_start(struct snipe_h1_pool *p, struct evbuffer *request,
@@ -303,7 +303,7 @@
 	c->call = call;
 	call->connection = c;
 	if (bufferevent_getfd(c->bev) < 0) {
-		/* No socket could be opened or connected. */
+		/* A refused connection is reported later, by an event. */
 		close_call_connection(call);
 		event_active(&call->deferred, 0, 0);
 		return call;
--- a/libs/h1/pool.h
+++ b/libs/h1/pool.h
@@ -22,6 +22,8 @@
 
 enum snipe_h1_result {
 	SNIPE_H1_COMPLETE,
+	SNIPE_H1_NO_SOCKET,	/* this process could open no socket; says nothing about the
+				   server */
 	SNIPE_H1_NOT_CONNECTED, /* no connection: no byte of the request was sent */
 	SNIPE_H1_LOST,		/* the connection ended before the response began */
 	SNIPE_H1_BROKEN,	/* the response was truncated or malformed */
--- a/libs/platform/store_client.c
+++ b/libs/platform/store_client.c
@@ -126,7 +126,7 @@
 
 static int result_error(const struct snipe_store_call *call, enum snipe_h1_result result)
 {
-	if (result == SNIPE_H1_NOT_CONNECTED)
+	if (result == SNIPE_H1_NOT_CONNECTED || result == SNIPE_H1_NO_SOCKET)
 		return SNIPE_ERR_UNAVAILABLE;
 	if (result == SNIPE_H1_TOO_LARGE && call->request.op != SNIPE_STORE_PUT)
 		return SNIPE_ERR_TOO_LARGE;
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -9,6 +9,7 @@
 
 #include "base/hash.h"
 #include "gateway/gate.h"
+#include "support/descriptors.h"
 #include "support/gateway.h"
 #include "support/loop.h"
 
@@ -786,3 +787,25 @@
 	snipe_gate_fill_report(&gate, snipe_now_us() + 10000000, &r);
 	EXPECT_EQ(r.rejected_ratio, 0);
 }
+
+// A node without descriptors called its server crashed, gave strikes to all running requests
+// and told the other nodes.
+TEST_F(Gate, LackOfSocketsIsNoCrashOfTheServer)
+{
+	Answer running, failed, next;
+	DescriptorLimit limit;
+
+	announce("i-1", SNIPE_SERVER_READY, 1);
+	call(running);
+	ASSERT_NE(wait_for_request(), nullptr);
+	limit.AllowNoMore();
+	call(failed, true, "r2", 5000000, 3000000, 2);
+	ASSERT_TRUE(answered(failed));
+	EXPECT_EQ(failed.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(failed.reason, "no_socket");
+	EXPECT_EQ(failed.arrived, 0);
+	limit.Restore();
+	EXPECT_FALSE(snipe_gate_has_unreported_strikes(&gate, snipe_now_us()));
+	call(next, true, "r3");
+	EXPECT_NE(wait_for_request(), nullptr) << "the server is still used";
+}
--- a/tests/h1/pool_test.cc
+++ b/tests/h1/pool_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "h1/pool.h"
+#include "support/descriptors.h"
 #include "support/loop.h"
 
 namespace
@@ -133,6 +134,20 @@
 	EXPECT_EQ(c.body, "ok");
 }
 
+// A process without descriptors must not take its server for dead.
+TEST(H1Pool, LackOfSocketsIsDistinguishedFromARefusedConnection)
+{
+	Pool t;
+	Call c;
+	DescriptorLimit limit;
+
+	limit.AllowNoMore();
+	t.start(c);
+	ASSERT_TRUE(t.wait_for_end(c));
+	EXPECT_EQ(c.result, SNIPE_H1_NO_SOCKET);
+	EXPECT_EQ(t.p.connection_count, 0);
+}
+
 TEST(H1Pool, RequestNotSentIsDistinguishedFromPossiblyExecuted)
 {
 	Pool t;
