Keep descriptors for the node when clients open many connections

Callers saw: in a flood of requests beyond the rate of one or two workspaces, and after a restart in it, next to nothing is served to anyone.

Cause: clients repeat each rejected try on a new connection and leave the old one idle. Nothing bounded these connections, so that they took all descriptors of the node: it could accept no connection, of clients, servers or readiness checks, and open none. The listeners stayed readable and were tried again at once, up to 56,000 times a second, which took all processor time.

Now clients get at most three quarters of the descriptors. From half of that on, the connection of a rejected request ends with its answer; shortly before the limit, the idle connection that is needed least is closed; at the limit and after a failed accept the listener pauses. The small listeners (readiness, announcements, counters) are bounded alike, and a listener for nodes whose accept failed pauses, too.

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -1,10 +1,13 @@
 #include "gateway/entry_state.h"
 
 #include <event2/event.h>
+#include <limits.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "core/connection_limit.h"
 #include "gateway/crash_log.h"
 #include "gateway/gate.h"
 
@@ -273,10 +276,22 @@
 	e->busy_answered = snipe_counters_get(c, "busy_us_total", "work=\"answer\"");
 }
 
+/* Returns how many descriptors the process may open: the lower one of both limits. */
+static int max_descriptors(const struct snipe_gateway_settings *settings)
+{
+	int most = settings->max_descriptors > 0 ? settings->max_descriptors : INT_MAX;
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < (rlim_t)most)
+		most = (int)limit.rlim_cur;
+	return most;
+}
+
 int snipe_entry_init(struct snipe_entry *e, const struct snipe_entry_config *config,
 		     struct snipe_error_text *err)
 {
 	static const struct snipe_h1_server_ops ops = {on_request, on_request_cancelled};
+	struct snipe_connection_limit limit;
 	int ret;
 
 	memset(e, 0, sizeof(*e));
@@ -289,6 +304,9 @@
 	e->server.limits.max_body_bytes = SNIPE_MAX_BODY_BYTES;
 	e->server.limits.head_timeout_us = DEFAULT_HEAD_TIMEOUT_US;
 	e->server.limits.idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US;
+	snipe_connection_limit_init(&limit, max_descriptors(config->settings));
+	e->server.limits.max_connections = limit.max;
+	e->server.limits.scarce_connections = limit.scarce;
 	snipe_fleet_quota_init(&e->quota, snipe_directory_interval_us(config->directory),
 			       config->settings->is_first_start);
 	snipe_chain_limit_init(&e->chain_limit, snipe_now_us());
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -164,6 +164,8 @@
 	response.body = body;
 	response.body_len = (size_t)snprintf(body, sizeof(body), "%s\n", error->reason);
 	response.is_head = req->message.method == HTTP_HEAD;
+	/* A client that is to come back later does so on a new connection. */
+	response.is_rejection = error->retry_after_us > 0;
 	snipe_entry_call_free(call);
 	snipe_h1_respond(req, &response);
 }
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -49,6 +49,7 @@
 #define ADMIN_HEAD_BYTES (16 * 1024)
 #define ADMIN_BODY_BYTES (64 * 1024)
 #define ADMIN_IDLE_TIMEOUT_US 60000000
+#define ADMIN_MAX_CONNECTIONS 16
 #define HEAD_TIMEOUT_US 3000000
 
 struct gateway {
@@ -156,10 +157,14 @@
 {
 	snipe_buffer_printf(out,
 			    "snipescale_client_connections %d\n"
+			    "snipescale_client_connections_max %d\n"
 			    "snipescale_client_connections_accepted_total %llu\n"
+			    "snipescale_client_connections_closed_idle_total %llu\n"
 			    "snipescale_client_accept_us_total %lld\n"
 			    "snipescale_client_read_us_total %lld\n",
-			    s->connection_count, (unsigned long long)s->accepted_count,
+			    s->connection_count, s->limits.max_connections,
+			    (unsigned long long)s->accepted_count,
+			    (unsigned long long)s->closed_idle_count,
 			    (long long)s->accept_time_us, (long long)s->read_time_us);
 }
 
@@ -637,8 +642,13 @@
 
 static int init_servers(struct gateway *g, struct snipe_error_text *err)
 {
-	static const struct snipe_h1_limits limits = {ADMIN_HEAD_BYTES, ADMIN_BODY_BYTES,
-						      HEAD_TIMEOUT_US, ADMIN_IDLE_TIMEOUT_US};
+	static const struct snipe_h1_limits limits = {
+		.max_head_bytes = ADMIN_HEAD_BYTES,
+		.max_body_bytes = ADMIN_BODY_BYTES,
+		.head_timeout_us = HEAD_TIMEOUT_US,
+		.idle_timeout_us = ADMIN_IDLE_TIMEOUT_US,
+		.max_connections = ADMIN_MAX_CONNECTIONS,
+	};
 	int ret = snipe_h1_server_init(&g->ready, g->base, &g->settings.ready_listen,
 				       "readiness checks", &ready_ops, g, err);
 
--- a/libs/gateway/settings.h
+++ b/libs/gateway/settings.h
@@ -28,8 +28,9 @@
 	int64_t announce_interval_us; /* between announcements of the backend server */
 	int64_t key_revocation_us;    /* longest time for which a revoked key is accepted */
 	int64_t stop_grace_us;	      /* time from SIGTERM to the exit */
-	double retry_ratio; /* most retries, as a fraction of the requests of a service */
-	double retry_slack; /* retries of a service that the fleet may make in addition */
+	double retry_ratio;  /* most retries, as a fraction of the requests of a service */
+	int max_descriptors; /* that the process may open for sockets; 0: as the kernel says */
+	double retry_slack;  /* retries of a service that the fleet may make in addition */
 };
 
 #ifdef __cplusplus
--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -23,10 +23,18 @@
 #define LINGER_TIMEOUT_US 1000000
 /* Connections waiting to be accepted: all clients of a host may reconnect at once. */
 #define LISTEN_BACKLOG 1024
+/* Part of the connections up to the limit that is kept free by closing idle ones. */
+#define FREE_CONNECTIONS_RATIO 8
+/* A connection without a request is idle after this time. */
+#define FIRST_REQUEST_MAX_US 1000000
 
 struct snipe_h1_connection {
 	struct snipe_h1_server *server;
 	LIST_ENTRY(snipe_h1_connection) entry;
+	TAILQ_ENTRY(snipe_h1_connection) idle_entry;
+	struct snipe_h1_idle *idle_list; /* NULL: not idle */
+	int is_new;			 /* its first request may be on the way */
+	int is_rejected;		 /* no request of it was admitted, or not the last */
 	struct bufferevent *bev;
 	struct snipe_h1_parser parser;
 	struct snipe_h1_request *reading;      /* the request being read */
@@ -61,12 +69,32 @@
 	c->pending_count = 0;
 }
 
+static int has_room(const struct snipe_h1_server *s, int reserve)
+{
+	return !s->limits.max_connections ||
+	       s->connection_count + reserve < s->limits.max_connections;
+}
+
+static void update_accepting(struct snipe_h1_server *s)
+{
+	if (s->is_accepting == has_room(s, 0))
+		return;
+	s->is_accepting = !s->is_accepting;
+	if (s->is_accepting)
+		evconnlistener_enable(s->listener);
+	else
+		evconnlistener_disable(s->listener);
+}
+
 static void destroy_connection(struct snipe_h1_connection *c)
 {
 	struct snipe_h1_server *s = c->server;
 
 	LIST_REMOVE(c, entry);
+	if (c->idle_list)
+		TAILQ_REMOVE(c->idle_list, c, idle_entry);
 	s->connection_count--;
+	update_accepting(s);
 	free_requests(c);
 	if (c->reading)
 		free_request(c->reading);
@@ -136,10 +164,46 @@
 		evbuffer_add(out, r->body, r->body_len);
 }
 
+static int is_idle(const struct snipe_h1_connection *c)
+{
+	return !c->is_new && !c->first && !c->read_since_us && !c->linger_until_us &&
+	       evbuffer_get_length(bufferevent_get_output(c->bev)) == 0;
+}
+
+/* Moves the connection to the end of the list to which it belongs now. */
+static void update_idle(struct snipe_h1_connection *c)
+{
+	struct snipe_h1_server *s = c->server;
+
+	if (c->idle_list)
+		TAILQ_REMOVE(c->idle_list, c, idle_entry);
+	c->idle_list = !is_idle(c)	? NULL
+		       : c->is_rejected ? &s->idle_rejected
+					: &s->idle_served;
+	if (c->idle_list)
+		TAILQ_INSERT_TAIL(c->idle_list, c, idle_entry);
+}
+
 static void begin_lingering_close(struct snipe_h1_connection *c)
 {
 	c->linger_until_us = snipe_now_us() + LINGER_TIMEOUT_US;
 	shutdown(bufferevent_getfd(c->bev), SHUT_WR);
+	update_idle(c);
+}
+
+/* Shortly before the limit, closes the idle connection that is needed least. A request that
+ * crosses this is not read, so its client may send it again. */
+static void make_room(struct snipe_h1_server *s)
+{
+	struct snipe_h1_connection *c = TAILQ_FIRST(&s->idle_rejected);
+
+	if (!c)
+		c = TAILQ_FIRST(&s->idle_served);
+	if (!c || has_room(s, s->limits.max_connections / FREE_CONNECTIONS_RATIO))
+		return;
+	s->closed_idle_count++;
+	c->is_read_closed = 1;
+	begin_lingering_close(c);
 }
 
 /* Writes the responses that are ready at the head of the queue. */
@@ -171,17 +235,34 @@
 
 static void read_requests(struct snipe_h1_connection *c);
 
+/* Whether the connection ends after this response. Requests that were sent behind it would have
+ * to be sent again, so that while there are any, only an error ends it. */
+static int closes_after(const struct snipe_h1_request *req,
+			const struct snipe_h1_response *response)
+{
+	const struct snipe_h1_connection *c = req->connection;
+	const struct snipe_h1_server *s = c->server;
+	int is_last = !req->next && !c->reading &&
+		      evbuffer_get_length(bufferevent_get_input(c->bev)) == 0;
+	int is_scarce = s->limits.scarce_connections &&
+			s->connection_count > s->limits.scarce_connections;
+
+	return response->close || !req->message.keep_alive || (s->is_closing && !req->next) ||
+	       (response->is_rejection && is_scarce && is_last);
+}
+
 void snipe_h1_respond(struct snipe_h1_request *req, const struct snipe_h1_response *response)
 {
 	struct snipe_h1_connection *c = req->connection;
 
 	req->callback_data = NULL;
-	if (response->close || !req->message.keep_alive ||
-	    (c->server->is_closing && !req->next))
-		req->close_after = 1;
+	req->close_after = closes_after(req, response);
 	write_response(req, response);
 	c->last_active_us = snipe_now_us();
+	c->is_new = 0;
+	c->is_rejected = response->is_rejection;
 	flush_responses(c);
+	update_idle(c);
 	/* Reading may have stopped at the limit of pipelined requests. */
 	if (!c->is_processing && !c->is_read_closed &&
 	    evbuffer_get_length(bufferevent_get_input(c->bev)) > 0)
@@ -301,6 +382,8 @@
 	c->is_processing = 0;
 	if (c->is_close_pending)
 		close_connection(c);
+	else
+		update_idle(c);
 }
 
 static void on_read(struct bufferevent *bev, void *arg)
@@ -323,6 +406,8 @@
 		begin_lingering_close(c);
 	else if (!c->is_read_closed && evbuffer_get_length(bufferevent_get_input(bev)) > 0)
 		read_requests(c);
+	else
+		update_idle(c);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
@@ -348,35 +433,41 @@
 	LIST_INSERT_HEAD(&s->connections, c, entry);
 	s->connection_count++;
 	s->accepted_count++;
+	c->is_new = c->is_rejected = 1;
 	bufferevent_setcb(c->bev, on_read, on_written, on_event, c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	update_idle(c);
+	make_room(s);
+	update_accepting(s);
 	s->accept_time_us += snipe_now_us() - c->last_active_us;
 }
 
+/* The listener stays readable after a failure, such as for lack of descriptors, and is tried
+ * again at the next check of timeouts. */
 static void on_accept_error(struct evconnlistener *l, void *arg)
 {
 	static struct snipe_log_limit limit;
-	const struct snipe_h1_server *s = arg;
+	struct snipe_h1_server *s = arg;
 	int err = EVUTIL_SOCKET_ERROR();
 	unsigned suppressed;
 
-	(void)l;
+	s->is_accepting = 0;
+	evconnlistener_disable(l);
 	if (snipe_log_allow(&limit, snipe_now_us(), 1, &suppressed))
 		snipe_log(SNIPE_LOG_WARNING, "accept_failed",
 			  "err=\"%s\" connections=%d suppressed=%u", g_strerror(err),
 			  s->connection_count, suppressed);
 }
 
-static int is_idle(const struct snipe_h1_connection *c)
-{
-	return !c->first && !c->read_since_us &&
-	       evbuffer_get_length(bufferevent_get_output(c->bev)) == 0;
-}
-
 static void check_timeouts(struct snipe_h1_connection *c, int64_t now)
 {
 	const struct snipe_h1_limits *l = &c->server->limits;
 
+	if (c->is_new && !c->first && !c->read_since_us &&
+	    now - c->last_active_us > FIRST_REQUEST_MAX_US) {
+		c->is_new = 0;
+		update_idle(c);
+	}
 	if (c->linger_until_us) {
 		if (now >= c->linger_until_us)
 			close_connection(c);
@@ -400,6 +491,8 @@
 		next = LIST_NEXT(c, entry);
 		check_timeouts(c, now);
 	}
+	make_room(s);
+	update_accepting(s);
 }
 
 int snipe_h1_server_init(struct snipe_h1_server *s, struct event_base *base,
@@ -416,6 +509,9 @@
 	s->base = base;
 	s->ops = ops;
 	s->arg = arg;
+	TAILQ_INIT(&s->idle_rejected);
+	TAILQ_INIT(&s->idle_served);
+	s->is_accepting = 1;
 	snipe_address_format(listen, text);
 	if (size > 0)
 		s->listener = evconnlistener_new_bind(
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -51,6 +51,7 @@
 	int is_head;			 /* response to HEAD: the body is not sent */
 	const char *head_content_length; /* with is_head: value of Content-Length, or NULL */
 	int close;			 /* end the connection after this response */
+	int is_rejection; /* if there are too many connections, this one is closed first */
 };
 
 struct snipe_h1_server_ops {
@@ -62,12 +63,19 @@
 	void (*cancelled)(void *arg, struct snipe_h1_request *req);
 };
 
-/* Size limits of requests and timeouts of connections. */
+/* Size limits of requests, and number and timeouts of connections. */
 struct snipe_h1_limits {
 	size_t max_head_bytes;
 	size_t max_body_bytes;
 	int64_t head_timeout_us;
 	int64_t idle_timeout_us;
+	/* 0: no limit. Shortly before it is reached, idle connections are closed, those first
+	 * that had no request or a rejected one, then the least recently used. At the limit,
+	 * no connections are accepted. */
+	int max_connections;
+	/* Above this number, the connection of a rejected request ends with the response. 0: no
+	 * limit. */
+	int scarce_connections;
 };
 
 /* Fields are private except for limits, which may be changed at any time. */
@@ -77,10 +85,15 @@
 	struct evconnlistener *listener;
 	struct event timeout_check;
 	LIST_HEAD(snipe_h1_connections, snipe_h1_connection) connections;
+	/* Idle connections, the least recently used first: those whose last request was
+	 * rejected or that had none, and the others. */
+	TAILQ_HEAD(snipe_h1_idle, snipe_h1_connection) idle_rejected, idle_served;
 	int connection_count;
-	uint64_t accepted_count; /* connections, since the start */
-	int64_t accept_time_us;	 /* spent accepting connections, since the start */
-	int64_t read_time_us;	 /* spent reading requests, callbacks included */
+	int is_accepting;
+	uint64_t closed_idle_count; /* closed for the limit, since the start */
+	uint64_t accepted_count;    /* connections, since the start */
+	int64_t accept_time_us;	    /* spent accepting connections, since the start */
+	int64_t read_time_us;	    /* spent reading requests, callbacks included */
 	int is_closing;
 	const struct snipe_h1_server_ops *ops;
 	void *arg;
--- a/libs/node/peer_task.c
+++ b/libs/node/peer_task.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "node/peer_message.h"
 
 /* Interval of the checks of all links: short compared to the times of core/link_watch. */
@@ -348,6 +349,22 @@
 					  &accepted_ops, t));
 }
 
+/* The listener stays readable after a failure, such as for lack of descriptors, and is tried
+ * again at the next tick. */
+static void on_accept_error(struct evconnlistener *l, void *arg)
+{
+	static struct snipe_log_limit limit;
+	struct snipe_peer_task *t = arg;
+	int err = EVUTIL_SOCKET_ERROR();
+	unsigned suppressed;
+
+	t->is_accept_paused = 1;
+	evconnlistener_disable(l);
+	if (snipe_log_allow(&limit, snipe_now_us(), 1, &suppressed))
+		snipe_log(SNIPE_LOG_WARNING, "peer_accept_failed", "err=\"%s\" suppressed=%u",
+			  g_strerror(err), suppressed);
+}
+
 static void close_ungreeted(struct snipe_peer_task *t, int64_t now_us)
 {
 	for (guint i = t->accepted->len; i-- > 0;) {
@@ -374,6 +391,9 @@
 			snipe_link_tick(link, now);
 	}
 	close_ungreeted(t, now);
+	if (t->is_accept_paused)
+		evconnlistener_enable(t->listener);
+	t->is_accept_paused = 0;
 }
 
 static int open_listener(struct snipe_peer_task *t, const struct snipe_address *listen,
@@ -396,6 +416,7 @@
 			"cannot listen on %s for peers: %s; choose a free port in "
 			"[listen] peers, or stop the process that uses it",
 			text, g_strerror(errno));
+	evconnlistener_set_error_cb(t->listener, on_accept_error);
 	getsockname(evconnlistener_get_fd(t->listener), (struct sockaddr *)&ss, &len);
 	snipe_address_from_sockaddr((struct sockaddr *)&ss, &t->links_config.identity.address);
 	return 0;
--- a/libs/node/peer_task.h
+++ b/libs/node/peer_task.h
@@ -58,6 +58,7 @@
 /* Fields are private. */
 struct snipe_peer_task {
 	struct evconnlistener *listener;
+	int is_accept_paused; /* until the next tick */
 	struct event *tick;
 	struct snipe_link_config links_config; /* shared by all links */
 	struct {
--- a/tests/adapter/settings_test.cc
+++ b/tests/adapter/settings_test.cc
@@ -140,3 +140,22 @@
 	EXPECT_EQ(f.load("{"), SNIPE_ERR_SYNTAX);
 	EXPECT_EQ(snipe_adapter_settings_load(&f.s, "/nonexistent/file", &err), SNIPE_ERR_IO);
 }
+
+TEST(AdapterSettings, DescriptorsForSocketsAreThoseThatFilesDoNotNeed)
+{
+	SettingsFile f;
+
+	ASSERT_EQ(f.load(EXAMPLE), 0);
+	EXPECT_EQ(f.s.max_descriptors, 0) << "not stated";
+	ASSERT_EQ(f.load_with({"limits"}, R"({"max-fds": 4100})"), 0) << f.err.text;
+	EXPECT_EQ(f.s.max_descriptors, 3900);
+	ASSERT_EQ(f.load_with({"limits"}, R"({"max-fds": 250})"), 0) << f.err.text;
+	EXPECT_EQ(f.s.max_descriptors, 125);
+	ASSERT_EQ(f.load_with({"limits"}, R"({"memory-mb": 260})"), 0) << f.err.text;
+	EXPECT_EQ(f.s.max_descriptors, 0);
+	for (const char *wrong : {"0", "-5", "\"many\"", "1e12"})
+		EXPECT_LT(f.load_with({"limits"},
+				      (std::string("{\"max-fds\": ") + wrong + "}").c_str()),
+			  0)
+			<< wrong;
+}
--- a/tests/adapter/store_test.cc
+++ b/tests/adapter/store_test.cc
@@ -36,7 +36,7 @@
 		ASSERT_EQ(snipe_h1_server_init(&server, loop.base, &address, "store", &ops,
 					       this, &text),
 			  0);
-		server.limits = {65536, 4000000, 10000000, 10000000};
+		server.limits = {65536, 4000000, 10000000, 10000000, 0, 0};
 		snipe_adapter_store_init(&client, loop.base, &address);
 	}
 	void TearDown() override
--- a/tests/h1/server_test.cc
+++ b/tests/h1/server_test.cc
@@ -2,11 +2,13 @@
 // aborted by a graceful close, and clients that hold connections open forever.
 #include <gtest/gtest.h>
 
+#include <ctime>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "h1/server.h"
+#include "support/descriptors.h"
 #include "support/loop.h"
 
 namespace
@@ -28,7 +30,7 @@
 			snipe_h1_server_init(&s, loop.base, &address, "test", &ops, this, &err),
 			0)
 			<< err.text;
-		s.limits = {4096, 100000, 1000000, 60000000};
+		s.limits = {4096, 100000, 1000000, 60000000, 0, 0};
 	}
 	~Server()
 	{
@@ -51,7 +53,8 @@
 		t->open.erase(url);
 		t->cancelled.push_back(url);
 	}
-	void answer(const std::string &url, const std::string &body, bool close = false)
+	void answer(const std::string &url, const std::string &body, bool close = false,
+		    bool is_rejection = false)
 	{
 		struct snipe_h1_response r = {};
 
@@ -59,6 +62,7 @@
 		r.body = body.data();
 		r.body_len = body.size();
 		r.close = close;
+		r.is_rejection = is_rejection;
 		struct snipe_h1_request *req = open.at(url);
 		open.erase(url);
 		snipe_h1_respond(req, &r);
@@ -198,6 +202,102 @@
 	EXPECT_TRUE(t.loop.until([&] { return c.has("late"); }));
 }
 
+// Idle connections of rejected clients take the descriptors that others need.
+TEST(H1Server, AtTheLimitIdleConnectionsOfRejectedClientsAreClosedFirst)
+{
+	Server t;
+	std::vector<Socket> served, rejected;
+
+	t.s.limits.max_connections = 16;
+	for (int i = 0; i < 4; i++) {
+		served.push_back(Socket::connect_to(t.address));
+		served.back().send_text(get("/ok"));
+		ASSERT_TRUE(t.wait_for_open(1));
+		t.answer("/ok", "ok");
+	}
+	for (int i = 0; i < 40; i++) {
+		rejected.push_back(Socket::connect_to(t.address));
+		rejected.back().send_text(get("/no"));
+		ASSERT_TRUE(t.wait_for_open(1)) << i;
+		t.answer("/no", "no", false, true);
+		EXPECT_LE(t.s.connection_count, 16);
+		for (auto &c : rejected) {
+			c.pump();
+			if (c.eof)
+				c.close_now();
+		}
+	}
+	for (auto &c : served) {
+		c.pump();
+		EXPECT_FALSE(c.eof);
+	}
+	EXPECT_GT(t.s.closed_idle_count, 20u);
+}
+
+TEST(H1Server, WhileConnectionsAreScarceThoseOfRejectedRequestsEnd)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address), kept = Socket::connect_to(t.address);
+
+	t.s.limits.scarce_connections = 1;
+	kept.send_text(get("/ok"));
+	ASSERT_TRUE(t.wait_for_open(1));
+	t.answer("/ok", "ok");
+	c.send_text(get("/1") + get("/2"));
+	ASSERT_TRUE(t.wait_for_open(2));
+	t.answer("/1", "one", false, true);
+	t.answer("/2", "two", false, true);
+	ASSERT_TRUE(t.loop.until([&] { return c.has("two") && c.eof; }));
+	EXPECT_EQ(c.in.find("Connection: close"), c.in.rfind("Connection: close"))
+		<< "requests that were sent behind a rejected one are answered";
+	kept.pump();
+	EXPECT_FALSE(kept.eof);
+}
+
+// At the limit, a listener that stays readable must not keep the loop busy, and connections
+// that wait are accepted when there is room again.
+TEST(H1Server, WithoutIdleConnectionsNewOnesWaitUntilThereIsRoom)
+{
+	Server t;
+	std::vector<Socket> busy;
+
+	t.s.limits.max_connections = 4;
+	for (int i = 0; i < 4; i++) {
+		busy.push_back(Socket::connect_to(t.address));
+		busy.back().send_text(get("/" + std::to_string(i)));
+		ASSERT_TRUE(t.wait_for_open((size_t)i + 1));
+	}
+	Socket next = Socket::connect_to(t.address);
+	next.send_text(get("/next"));
+	t.loop.run_ms(100);
+	EXPECT_EQ(t.open.count("/next"), 0u);
+	EXPECT_EQ(t.s.connection_count, 4);
+	busy[0].close_now();
+	ASSERT_TRUE(t.loop.until([&] { return t.open.count("/next") == 1; }));
+	t.answer("/next", "next");
+	EXPECT_TRUE(t.loop.until([&] { return next.has("next"); }));
+}
+
+TEST(H1Server, LackOfDescriptorsDoesNotKeepTheLoopBusy)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address), second = Socket::connect_to(t.address);
+	DescriptorLimit limit;
+	clock_t before;
+
+	limit.AllowNoMore();
+	c.send_text(get("/1"));
+	before = clock();
+	t.loop.run_ms(400);
+	double used = (double)(clock() - before) / CLOCKS_PER_SEC;
+	limit.Restore();
+	EXPECT_LT(used, 0.2);
+	EXPECT_TRUE(t.open.empty());
+	ASSERT_TRUE(t.wait_for_open(1));
+	t.answer("/1", "one");
+	EXPECT_TRUE(t.loop.until([&] { return c.has("one"); }));
+}
+
 TEST(H1Server, GracefulCloseAnswersAllRequestsFirst)
 {
 	Server t;
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -57,7 +57,7 @@
 	if (snipe_h1_server_init(&port->server, loop_.base, &a, "store", &ops, port.get(),
 				 &err))
 		give_up(err.text);
-	port->server.limits = {65536, 4000000, 60000000, 600000000};
+	port->server.limits = {65536, 4000000, 60000000, 600000000, 0, 0};
 	ports_.push_back(std::move(port));
 	if (!tick_) {
 		tick_ = event_new(loop_.base, -1, EV_PERSIST, OnTick, this);
@@ -307,7 +307,7 @@
 	born_ms_ = ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 	if (snipe_h1_server_init(&server_, loop.base, &address, "server", &ops, this, &err))
 		give_up(err.text);
-	server_.limits = {65536, 10000000, 60000000, 60000000};
+	server_.limits = {65536, 10000000, 60000000, 60000000, 0, 0};
 	snipe_h1_pool_init(&admin_, loop.base);
 	snipe_h1_pool_set_address(&admin_, &admin);
 	snipe_h1_pool_init(&outbound_, loop.base);
