h1: read and write client connections without a bufferevent

A rejection on a new connection cost some 14 system calls: FIONREAD before each read, two epoll_ctl and a turn of the loop for each response, setsockopt for each accept.

--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -1,16 +1,15 @@
 #include "h1/server.h"
 
 #include <errno.h>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/socket.h"
+#include "h1/stream.h"
 
 /* Interval at which connections are checked for timeouts. */
 #define TIMEOUT_CHECK_INTERVAL_US 500000
@@ -23,6 +22,9 @@
 #define LINGER_TIMEOUT_US 1000000
 /* Connections waiting to be accepted: all clients of a host may reconnect at once. */
 #define LISTEN_BACKLOG 1024
+/* Connections accepted in one turn of the loop; their requests are read before the next ones
+ * are accepted. */
+#define ACCEPT_BATCH 32
 /* Part of the connections up to the limit that is kept free by closing idle ones. */
 #define FREE_CONNECTIONS_RATIO 8
 /* A connection without a request is idle after this time. */
@@ -35,13 +37,14 @@
 	struct snipe_h1_idle *idle_list; /* NULL: not idle */
 	int is_new;			 /* its first request may be on the way */
 	int is_rejected;		 /* no request of it was admitted, or not the last */
-	struct bufferevent *bev;
+	struct snipe_h1_stream stream;
 	struct snipe_h1_parser parser;
 	struct snipe_h1_request *reading;      /* the request being read */
 	struct snipe_h1_request *first, *last; /* read; the response is not yet written */
 	int pending_count;		       /* requests from first to last */
 	int is_processing;		       /* in use by a function on the stack */
 	int is_close_pending;		       /* to be closed when is_processing ends */
+	int has_more_input;		       /* behind the request that is being processed */
 	int is_read_closed;    /* the last request was read, or input was malformed */
 	int64_t read_since_us; /* first byte of the request being read; 0: none */
 	int64_t last_active_us;
@@ -51,8 +54,7 @@
 static void free_request(struct snipe_h1_request *req)
 {
 	snipe_h1_message_finish(&req->message);
-	if (req->response)
-		evbuffer_free(req->response);
+	snipe_buffer_finish(&req->response);
 	g_free(req);
 }
 
@@ -81,9 +83,9 @@
 		return;
 	s->is_accepting = !s->is_accepting;
 	if (s->is_accepting)
-		evconnlistener_enable(s->listener);
+		event_add(&s->accept, NULL);
 	else
-		evconnlistener_disable(s->listener);
+		event_del(&s->accept);
 }
 
 static void destroy_connection(struct snipe_h1_connection *c)
@@ -98,14 +100,14 @@
 	free_requests(c);
 	if (c->reading)
 		free_request(c->reading);
-	bufferevent_free(c->bev);
+	snipe_h1_stream_finish(&c->stream);
 	g_free(c);
 }
 
 static void cancel_requests(struct snipe_h1_connection *c)
 {
 	for (struct snipe_h1_request *req = c->first; req; req = req->next)
-		if (!req->response && req->callback_data)
+		if (req->response.len == 0 && req->callback_data)
 			c->server->ops->cancelled(c->server->arg, req);
 }
 
@@ -139,35 +141,36 @@
 	return status >= 200 && status != 204 && status != 304;
 }
 
-static void write_response(struct snipe_h1_request *req, const struct snipe_h1_response *r)
+static void append_header(struct snipe_buffer *out, const struct snipe_h1_header *h)
 {
-	struct evbuffer *out = evbuffer_new();
+	snipe_buffer_append(out, h->name.data, h->name.len);
+	snipe_buffer_append(out, ": ", 2);
+	snipe_buffer_append(out, h->value.data, h->value.len);
+	snipe_buffer_append(out, "\r\n", 2);
+}
 
-	req->response = out;
-	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", r->status, status_text(r->status));
-	for (int i = 0; i < r->header_count; i++) {
-		const struct snipe_h1_header *h = &r->headers[i];
+static void write_response(struct snipe_h1_request *req, const struct snipe_h1_response *r)
+{
+	struct snipe_buffer *out = &req->response;
 
-		evbuffer_add(out, h->name.data, h->name.len);
-		evbuffer_add(out, ": ", 2);
-		evbuffer_add(out, h->value.data, h->value.len);
-		evbuffer_add(out, "\r\n", 2);
-	}
+	snipe_buffer_printf(out, "HTTP/1.1 %d %s\r\n", r->status, status_text(r->status));
+	for (int i = 0; i < r->header_count; i++)
+		append_header(out, &r->headers[i]);
 	if (r->is_head && r->head_content_length)
-		evbuffer_add_printf(out, "Content-Length: %s\r\n", r->head_content_length);
+		snipe_buffer_printf(out, "Content-Length: %s\r\n", r->head_content_length);
 	else if (!r->is_head && has_body(r->status))
-		evbuffer_add_printf(out, "Content-Length: %zu\r\n", r->body_len);
+		snipe_buffer_printf(out, "Content-Length: %zu\r\n", r->body_len);
 	if (req->close_after)
-		evbuffer_add(out, "Connection: close\r\n", 19);
-	evbuffer_add(out, "\r\n", 2);
+		snipe_buffer_append(out, "Connection: close\r\n", 19);
+	snipe_buffer_append(out, "\r\n", 2);
 	if (!r->is_head && has_body(r->status) && r->body_len)
-		evbuffer_add(out, r->body, r->body_len);
+		snipe_buffer_append(out, r->body, r->body_len);
 }
 
 static int is_idle(const struct snipe_h1_connection *c)
 {
 	return !c->is_new && !c->first && !c->read_since_us && !c->linger_until_us &&
-	       evbuffer_get_length(bufferevent_get_output(c->bev)) == 0;
+	       snipe_h1_stream_unsent(&c->stream) == 0;
 }
 
 /* Moves the connection to the end of the list to which it belongs now. */
@@ -187,7 +190,7 @@
 static void begin_lingering_close(struct snipe_h1_connection *c)
 {
 	c->linger_until_us = snipe_now_us() + LINGER_TIMEOUT_US;
-	shutdown(bufferevent_getfd(c->bev), SHUT_WR);
+	snipe_h1_stream_shutdown(&c->stream);
 	update_idle(c);
 }
 
@@ -209,13 +212,12 @@
 /* Writes the responses that are ready at the head of the queue. */
 static void flush_responses(struct snipe_h1_connection *c)
 {
-	struct evbuffer *out = bufferevent_get_output(c->bev);
 	int closes = 0;
 
-	while (c->first && c->first->response && !closes) {
+	while (c->first && c->first->response.len > 0 && !closes) {
 		struct snipe_h1_request *req = c->first;
 
-		evbuffer_add_buffer(out, req->response);
+		snipe_h1_stream_send(&c->stream, req->response.data, req->response.len);
 		closes = req->close_after;
 		c->first = req->next;
 		if (!c->first)
@@ -229,12 +231,10 @@
 	/* Requests after a response that ends the connection are cancelled unanswered. */
 	cancel_requests(c);
 	free_requests(c);
-	if (evbuffer_get_length(out) == 0)
+	if (snipe_h1_stream_unsent(&c->stream) == 0)
 		begin_lingering_close(c);
 }
 
-static void read_requests(struct snipe_h1_connection *c);
-
 /* Whether the connection ends after this response. Requests that were sent behind it would have
  * to be sent again, so that while there are any, only an error ends it. */
 static int closes_after(const struct snipe_h1_request *req,
@@ -242,8 +242,7 @@
 {
 	const struct snipe_h1_connection *c = req->connection;
 	const struct snipe_h1_server *s = c->server;
-	int is_last = !req->next && !c->reading &&
-		      evbuffer_get_length(bufferevent_get_input(c->bev)) == 0;
+	int is_last = !req->next && !c->reading && !c->has_more_input;
 	int is_scarce = s->limits.scarce_connections &&
 			s->connection_count > s->limits.scarce_connections;
 
@@ -264,9 +263,8 @@
 	flush_responses(c);
 	update_idle(c);
 	/* Reading may have stopped at the limit of pipelined requests. */
-	if (!c->is_processing && !c->is_read_closed &&
-	    evbuffer_get_length(bufferevent_get_input(c->bev)) > 0)
-		read_requests(c);
+	if (!c->is_processing)
+		snipe_h1_stream_resume(&c->stream);
 }
 
 static void append_request(struct snipe_h1_connection *c, struct snipe_h1_request *req)
@@ -324,141 +322,145 @@
 	if (expect && c->first == NULL && c->parser.has_head &&
 	    c->reading->message.body.len == 0 &&
 	    g_ascii_strcasecmp(expect, "100-continue") == 0)
-		bufferevent_write(c->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+		snipe_h1_stream_send(&c->stream, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
 
-/* Parses the first contiguous piece of input. Returns nonzero if there may be more to parse. */
-static int parse_input(struct snipe_h1_connection *c, struct evbuffer *in)
+/* Parses bytes up to the end of a request. Returns the number of bytes that were consumed. */
+static size_t parse_input(struct snipe_h1_connection *c, const char *data, size_t len)
 {
-	struct evbuffer_iovec piece;
 	enum snipe_h1_parse_result result;
 	size_t consumed;
 	int had_head;
 
-	if (evbuffer_peek(in, -1, NULL, &piece, 1) < 1 || piece.iov_len == 0)
-		return 0;
 	if (!c->reading)
 		begin_request(c);
 	if (!c->read_since_us)
 		c->read_since_us = snipe_now_us();
 	had_head = c->parser.has_head;
-	result = snipe_h1_parser_feed(&c->parser, piece.iov_base, piece.iov_len, &consumed);
-	evbuffer_drain(in, consumed);
+	result = snipe_h1_parser_feed(&c->parser, data, len, &consumed);
+	c->has_more_input = consumed < len;
 	switch (result) {
 	case SNIPE_H1_NEED_MORE:
 		if (!had_head)
 			send_continue(c);
-		return 1;
+		break;
 	case SNIPE_H1_DONE:
 		dispatch_request(c);
-		return 1;
+		break;
 	case SNIPE_H1_HEAD_LIMIT:
 		respond_error(c, 431);
-		return 0;
+		break;
 	case SNIPE_H1_BODY_LIMIT:
 		respond_error(c, 413);
-		return 0;
+		break;
 	case SNIPE_H1_MALFORMED:
+		respond_error(c, 400);
 		break;
 	}
-	respond_error(c, 400);
-	return 0;
+	return consumed;
 }
 
-static void read_requests(struct snipe_h1_connection *c)
+static int can_read(const struct snipe_h1_connection *c)
 {
-	struct evbuffer *in = bufferevent_get_input(c->bev);
-
-	c->is_processing = 1;
-	c->last_active_us = snipe_now_us();
-	while (!c->is_close_pending && !c->is_read_closed &&
-	       c->pending_count < MAX_PIPELINED_REQUESTS &&
-	       evbuffer_get_length(bufferevent_get_output(c->bev)) <
-		       OUTPUT_HIGH_WATERMARK_BYTES &&
-	       parse_input(c, in))
-		;
-	if (c->is_read_closed)
-		evbuffer_drain(in, evbuffer_get_length(in));
-	c->is_processing = 0;
-	if (c->is_close_pending)
-		close_connection(c);
-	else
-		update_idle(c);
+	return !c->is_close_pending && c->pending_count < MAX_PIPELINED_REQUESTS &&
+	       snipe_h1_stream_unsent(&c->stream) < OUTPUT_HIGH_WATERMARK_BYTES;
 }
 
-static void on_read(struct bufferevent *bev, void *arg)
+static ssize_t on_received(void *arg, const char *data, size_t len)
 {
 	struct snipe_h1_connection *c = arg;
 	struct snipe_h1_server *s = c->server;
 	int64_t start = snipe_now_us();
+	size_t consumed = 0;
 
-	(void)bev;
-	read_requests(c);
+	c->is_processing = 1;
+	c->last_active_us = start;
+	while (consumed < len && !c->is_read_closed && can_read(c))
+		consumed += parse_input(c, data + consumed, len - consumed);
+	if (c->is_read_closed)
+		consumed = len;
+	c->is_processing = 0;
 	s->read_time_us += snipe_now_us() - start;
+	if (c->is_close_pending) {
+		close_connection(c);
+		return -1;
+	}
+	update_idle(c);
+	return (ssize_t)consumed;
 }
 
-static void on_written(struct bufferevent *bev, void *arg)
+static void on_drained(void *arg)
 {
 	struct snipe_h1_connection *c = arg;
 
 	c->last_active_us = snipe_now_us();
 	if (c->is_read_closed && !c->first && !c->linger_until_us)
 		begin_lingering_close(c);
-	else if (!c->is_read_closed && evbuffer_get_length(bufferevent_get_input(bev)) > 0)
-		read_requests(c);
-	else
-		update_idle(c);
+	update_idle(c);
+	snipe_h1_stream_resume(&c->stream);
 }
 
-static void on_event(struct bufferevent *bev, short what, void *arg)
+static void on_ended(void *arg)
 {
-	(void)bev;
-	(void)what;
 	close_connection(arg);
 }
 
-static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
-		      int len, void *arg)
+static const struct snipe_h1_stream_ops stream_ops = {on_received, on_drained, on_ended};
+
+static void add_connection(struct snipe_h1_server *s, int fd)
 {
-	struct snipe_h1_server *s = arg;
 	struct snipe_h1_connection *c = g_new0(struct snipe_h1_connection, 1);
 
-	(void)l;
-	(void)sa;
-	(void)len;
-	snipe_socket_set_nodelay(fd);
 	c->server = s;
-	c->bev = bufferevent_socket_new(s->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	c->last_active_us = snipe_now_us();
+	c->is_new = c->is_rejected = 1;
 	LIST_INSERT_HEAD(&s->connections, c, entry);
 	s->connection_count++;
 	s->accepted_count++;
-	c->is_new = c->is_rejected = 1;
-	bufferevent_setcb(c->bev, on_read, on_written, on_event, c);
-	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
-	update_idle(c);
+	snipe_h1_stream_init(&c->stream, s->base, fd, &stream_ops, c);
 	make_room(s);
 	update_accepting(s);
-	s->accept_time_us += snipe_now_us() - c->last_active_us;
 }
 
 /* The listener stays readable after a failure, such as for lack of descriptors, and is tried
  * again at the next check of timeouts. */
-static void on_accept_error(struct evconnlistener *l, void *arg)
+static void pause_accepting(struct snipe_h1_server *s, int err)
 {
 	static struct snipe_log_limit limit;
-	struct snipe_h1_server *s = arg;
-	int err = EVUTIL_SOCKET_ERROR();
 	unsigned suppressed;
 
 	s->is_accepting = 0;
-	evconnlistener_disable(l);
+	event_del(&s->accept);
 	if (snipe_log_allow(&limit, snipe_now_us(), 1, &suppressed))
 		snipe_log(SNIPE_LOG_WARNING, "accept_failed",
 			  "err=\"%s\" connections=%d suppressed=%u", g_strerror(err),
 			  s->connection_count, suppressed);
 }
 
+static int is_lasting_error(int err)
+{
+	return err == EMFILE || err == ENFILE || err == ENOBUFS || err == ENOMEM;
+}
+
+static void on_acceptable(evutil_socket_t listener, short what, void *arg)
+{
+	struct snipe_h1_server *s = arg;
+	int64_t start = snipe_now_us();
+
+	(void)what;
+	for (int i = 0; i < ACCEPT_BATCH && s->is_accepting; i++) {
+		int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd >= 0)
+			add_connection(s, fd);
+		else if (errno == EAGAIN)
+			break;
+		else if (is_lasting_error(errno))
+			pause_accepting(s, errno);
+	}
+	s->accept_time_us += snipe_now_us() - start;
+}
+
 static void check_timeouts(struct snipe_h1_connection *c, int64_t now)
 {
 	const struct snipe_h1_limits *l = &c->server->limits;
@@ -495,6 +497,27 @@
 	update_accepting(s);
 }
 
+/* Returns a listening socket, or -1 with errno set. */
+static int listen_on(const struct sockaddr *sa, socklen_t len)
+{
+	int fd = socket(sa->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int one = 1, err;
+
+	if (fd < 0)
+		return -1;
+	if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) == 0 &&
+	    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one)) == 0 &&
+	    bind(fd, sa, len) == 0 && listen(fd, LISTEN_BACKLOG) == 0) {
+		/* Accepted sockets inherit it, which saves a system call for each. */
+		snipe_socket_set_nodelay(fd);
+		return fd;
+	}
+	err = errno;
+	close(fd);
+	errno = err;
+	return -1;
+}
+
 int snipe_h1_server_init(struct snipe_h1_server *s, struct event_base *base,
 			 const struct snipe_address *listen, const char *role,
 			 const struct snipe_h1_server_ops *ops, void *arg,
@@ -513,19 +536,20 @@
 	TAILQ_INIT(&s->idle_served);
 	s->is_accepting = 1;
 	snipe_address_format(listen, text);
-	if (size > 0)
-		s->listener = evconnlistener_new_bind(
-			base, on_accept, s,
-			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-			LISTEN_BACKLOG, (struct sockaddr *)&ss, size);
-	if (!s->listener)
+	if (size <= 0)
+		return snipe_error_set(err, SNIPE_ERR_IO,
+				       "%s is no IP address to listen on for %s", text, role);
+	s->fd = listen_on((struct sockaddr *)&ss, (socklen_t)size);
+	if (s->fd < 0)
 		return snipe_error_set(err, SNIPE_ERR_IO,
 				       "cannot listen on %s for %s: %s; choose a free address "
 				       "in the settings, or stop the process that uses it",
 				       text, role, g_strerror(errno));
-	evconnlistener_set_error_cb(s->listener, on_accept_error);
 	event_assign(&s->timeout_check, base, -1, EV_PERSIST, on_timeout_check, s);
 	event_add(&s->timeout_check, &interval);
+	event_assign(&s->accept, base, s->fd, EV_READ | EV_PERSIST, on_acceptable, s);
+	event_add(&s->accept, NULL);
+	s->is_listening = 1;
 	return 0;
 }
 
@@ -533,15 +557,16 @@
 {
 	struct snipe_h1_connection *next;
 
-	if (!s->listener)
+	if (!s->is_listening)
 		return;
 	for (struct snipe_h1_connection *c = LIST_FIRST(&s->connections); c; c = next) {
 		next = LIST_NEXT(c, entry);
 		destroy_connection(c);
 	}
 	event_del(&s->timeout_check);
-	evconnlistener_free(s->listener);
-	s->listener = NULL;
+	event_del(&s->accept);
+	close(s->fd);
+	s->is_listening = 0;
 }
 
 void snipe_h1_server_close_gracefully(struct snipe_h1_server *s)
@@ -565,7 +590,7 @@
 	const struct snipe_h1_connection *c;
 
 	LIST_FOREACH(c, &s->connections, entry)
-	if (c->first || evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
+	if (c->first || snipe_h1_stream_unsent(&c->stream) > 0)
 		return 1;
 	return 0;
 }
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -18,8 +18,6 @@
 #endif
 
 struct event_base;
-struct evconnlistener;
-struct evbuffer;
 struct snipe_h1_connection;
 
 /* A request; valid from the request callback until it is answered or cancelled. */
@@ -28,8 +26,8 @@
 	struct snipe_h1_connection *connection;
 	void *callback_data; /* for the user of the module; NULL at first */
 	struct snipe_h1_request *next;
-	struct evbuffer *response; /* NULL: not answered yet */
-	int close_after;	   /* the connection ends after this response */
+	struct snipe_buffer response; /* empty: not answered yet */
+	int close_after;	      /* the connection ends after this response */
 };
 
 struct snipe_h1_slice {
@@ -82,7 +80,9 @@
 struct snipe_h1_server {
 	struct snipe_h1_limits limits;
 	struct event_base *base;
-	struct evconnlistener *listener;
+	int is_listening;
+	int fd;
+	struct event accept;
 	struct event timeout_check;
 	LIST_HEAD(snipe_h1_connections, snipe_h1_connection) connections;
 	/* Idle connections, the least recently used first: those whose last request was
