entry: do not send on requests whose clients left before they were read

Cause: the time left, and whether the client is there, count from when a request is read. What waited unread before, in the queue of connections while none could be accepted or in a late loop, was not taken into account.

The entry now takes the lag of the loop and the longest time for which the connection can have waited to be accepted off the time left, and asks the kernel whether the client is still there before it sends a request on that waited over 50 ms. After a lag the next measurement follows after 5 ms, so that an old one does not count. The tests of the entry and the listener fail without it (sent on, 700 ms in place of 400).

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -26,6 +26,9 @@
 #define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
 #define DEFAULT_HEAD_TIMEOUT_US 3000000
 #define DEFAULT_IDLE_TIMEOUT_US 60000000
+/* From this wait on, it is checked whether the client is still connected before a request is
+ * sent on. */
+#define CLIENT_CHECK_US 50000
 
 static struct snipe_entry_route *find_entry_route(struct snipe_entry *e, const char *name)
 {
@@ -115,6 +118,8 @@
 	req->callback_data = call;
 	call->workspace = -1;
 	call->received_us = snipe_now_us();
+	call->waited_us = snipe_loop_lag_now(e->config.lag, call->received_us) +
+			  snipe_h1_accept_wait_us(req);
 	call->deadline_us = call->received_us;
 	call->request_id = id ? id : "";
 	snipe_entry_call_init_timers(call);
@@ -192,6 +197,14 @@
 	return 1;
 }
 
+/* Whether nobody waits for the answer any more: the request was in the node, unread, for so
+ * long that its deadline has passed or its client may have left. */
+static int is_abandoned(const struct snipe_entry_call *call)
+{
+	return call->deadline_us <= call->received_us ||
+	       (call->waited_us > CLIENT_CHECK_US && snipe_h1_is_client_gone(call->req));
+}
+
 /* Sends a request on or answers it. Returns whether it was admitted. */
 static int admit_request(struct snipe_entry *e, struct snipe_h1_request *req)
 {
@@ -203,6 +216,11 @@
 		snipe_entry_call_fail(call, &error);
 		return 0;
 	}
+	if (is_abandoned(call)) {
+		snipe_counters_add(e->config.counters, e->count_late, 1);
+		snipe_entry_call_fail_with(call, 503, "expired_unread", 0);
+		return 0;
+	}
 	if (e->is_stopping && call->workspace >= 0) {
 		snipe_entry_call_fail_with(call, 503, "stopping", RETRY_AFTER_STOPPING_US);
 		return 0;
@@ -268,6 +286,7 @@
 	e->count_rejected = snipe_counters_get(c, "requests_refused_total", "");
 	e->count_failed = snipe_counters_get(c, "requests_failed_total", "");
 	e->count_chain_rejected = snipe_counters_get(c, "requests_chain_rejected_total", "");
+	e->count_late = snipe_counters_get(c, "requests_expired_unread_total", "");
 	e->count_cancelled = snipe_counters_get(c, "requests_cancelled_total", "");
 	e->count_retries = snipe_counters_get(c, "requests_retried_total", "");
 	e->gauge_in_flight = snipe_counters_get(c, "requests_in_flight", "");
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -17,6 +17,7 @@
 #include "core/crash_guard.h"
 #include "core/entry_limit.h"
 #include "core/fleet_quota.h"
+#include "core/loop_lag.h"
 #include "gateway/dialect.h"
 #include "gateway/directory.h"
 #include "h1/server.h"
@@ -37,6 +38,7 @@
 	struct snipe_crash_guard *guard;
 	struct snipe_call_profile *profile;
 	struct snipe_counters *counters;
+	const struct snipe_loop_lag *lag; /* of the event loop */
 };
 
 /* Fields are private. */
@@ -56,7 +58,7 @@
 	int is_stopping; /* client requests are rejected: the process exits soon */
 	struct snipe_histogram latency; /* of served client requests, microseconds */
 	int count_requests, count_served, count_retries, count_rejected, count_failed,
-		count_cancelled, count_chain_rejected, gauge_in_flight;
+		count_cancelled, count_chain_rejected, count_late, gauge_in_flight;
 	int busy_rejected, busy_admitted, busy_answered; /* processor time by kind of work */
 };
 
--- a/libs/gateway/entry_check.c
+++ b/libs/gateway/entry_check.c
@@ -91,7 +91,8 @@
 	return accepted;
 }
 
-/* Sets the deadline from the time left that the caller states, at most the route's timeout. */
+/* Sets the deadline from the time left that the caller stated when it sent the request, at most
+ * the route's timeout. */
 static struct snipe_entry_error check_deadline(struct snipe_entry_call *call)
 {
 	const char *text = snipe_h1_find_value(
@@ -106,7 +107,7 @@
 			return (struct snipe_entry_error){400, "bad_deadline", 0};
 		left_us = MIN(left_us, (int64_t)MIN(ms, MAX_TIME_LEFT_MS) * 1000);
 	}
-	call->deadline_us = call->received_us + left_us;
+	call->deadline_us = call->received_us - call->waited_us + left_us;
 	return accepted;
 }
 
--- a/libs/gateway/entry_state.h
+++ b/libs/gateway/entry_state.h
@@ -70,6 +70,7 @@
 	struct snipe_service_pool *pool;
 	uint64_t fingerprint;
 	int64_t received_us;
+	int64_t waited_us; /* how long it had probably waited to be read */
 	int64_t deadline_us;
 	struct snipe_entry_attempt attempts[SNIPE_ENTRY_MAX_ATTEMPTS];
 	int attempt_count;    /* attempts started */
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -37,6 +37,10 @@
 #define SUSPECT_REPORT_INTERVAL_US 1000000
 /* Interval of the steps of a stop and of log flushes; short compared to the times above. */
 #define TICK_US 100000
+/* After a lag above the first value, the next tick is due after the second: the lag is taken
+ * off the time left of requests, and may have ended. */
+#define LAG_RECHECK_US 50000
+#define LAG_RECHECK_INTERVAL_US 5000
 /* Interval of the log lines of a loop that is late. */
 #define LATE_LOG_INTERVAL_US 1000000
 /* Interval of checks of the settings file: changes must take effect within two seconds. */
@@ -574,6 +578,22 @@
 	};
 }
 
+static void log_late_load(const struct load *load, const struct load *last, int64_t lag_us,
+			  int64_t since_us, int connections)
+{
+	snipe_log(SNIPE_LOG_WARNING, "event_loop_late",
+		  "lag_ms=%lld since_ms=%lld connections=%d accepted=%llu requests=%lld "
+		  "rejected=%lld accept_ms=%lld read_ms=%lld answer_ms=%lld gate_ms=%lld",
+		  (long long)(lag_us / 1000), (long long)(since_us / 1000), connections,
+		  (unsigned long long)(load->accepted - last->accepted),
+		  (long long)(load->requests - last->requests),
+		  (long long)(load->rejected - last->rejected),
+		  (long long)((load->accept_us - last->accept_us) / 1000),
+		  (long long)((load->read_us - last->read_us) / 1000),
+		  (long long)((load->answer_us - last->answer_us) / 1000),
+		  (long long)((load->gate_us - last->gate_us) / 1000));
+}
+
 /* Logs what the node worked on since the last line, if its loop was late. */
 static void log_late_loop(struct gateway *g, int64_t now)
 {
@@ -585,30 +605,18 @@
 	load = current_load(g);
 	peak = snipe_loop_lag_take_peak(&g->lag);
 	if (peak >= SNIPE_LOOP_LATE_US)
-		snipe_log(
-			SNIPE_LOG_WARNING, "event_loop_late",
-			"lag_ms=%lld since_ms=%lld connections=%d accepted=%llu requests=%lld "
-			"rejected=%lld accept_ms=%lld read_ms=%lld answer_ms=%lld "
-			"gate_ms=%lld",
-			(long long)(peak / 1000), (long long)(since / 1000),
-			g->entry.server.connection_count,
-			(unsigned long long)(load.accepted - last->accepted),
-			(long long)(load.requests - last->requests),
-			(long long)(load.rejected - last->rejected),
-			(long long)((load.accept_us - last->accept_us) / 1000),
-			(long long)((load.read_us - last->read_us) / 1000),
-			(long long)((load.answer_us - last->answer_us) / 1000),
-			(long long)((load.gate_us - last->gate_us) / 1000));
+		log_late_load(&load, last, peak, since, g->entry.server.connection_count);
 	*last = load;
 	g->logged_us = now;
 }
 
 static void schedule_tick(struct gateway *g)
 {
-	static const struct timeval tick = {0, TICK_US};
+	int64_t interval = g->lag.lag_us > LAG_RECHECK_US ? LAG_RECHECK_INTERVAL_US : TICK_US;
+	struct timeval tv = snipe_timeval(interval);
 
-	snipe_loop_lag_schedule(&g->lag, snipe_now_us() + TICK_US);
-	event_add(g->tick, &tick);
+	snipe_loop_lag_schedule(&g->lag, snipe_now_us() + interval);
+	event_add(g->tick, &tv);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
@@ -703,6 +711,7 @@
 		.guard = &g->guard,
 		.profile = &g->profile,
 		.counters = &g->counters,
+		.lag = &g->lag,
 	};
 
 	snipe_gate_init(&g->gate, &gate);
--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -36,6 +36,7 @@
 	TAILQ_ENTRY(snipe_h1_connection) idle_entry;
 	struct snipe_h1_idle *idle_list; /* NULL: not idle */
 	int is_new;			 /* its first request may be on the way */
+	int64_t accept_wait_us;		 /* how long it waited to be accepted, at most */
 	int is_rejected;		 /* no request of it was admitted, or not the last */
 	struct snipe_h1_stream stream;
 	struct snipe_h1_parser parser;
@@ -77,15 +78,24 @@
 	       s->connection_count + reserve < s->limits.max_connections;
 }
 
+static void stop_accepting(struct snipe_h1_server *s)
+{
+	s->is_accepting = 0;
+	event_del(&s->accept);
+	if (!s->queue_empty_us)
+		s->queue_empty_us = s->queue_mark_us = snipe_now_us();
+}
+
 static void update_accepting(struct snipe_h1_server *s)
 {
 	if (s->is_accepting == has_room(s, 0))
 		return;
-	s->is_accepting = !s->is_accepting;
-	if (s->is_accepting)
+	if (!s->is_accepting) {
+		s->is_accepting = 1;
 		event_add(&s->accept, NULL);
-	else
-		event_del(&s->accept);
+	} else {
+		stop_accepting(s);
+	}
 }
 
 static void destroy_connection(struct snipe_h1_connection *c)
@@ -414,6 +424,7 @@
 	c->server = s;
 	c->last_active_us = snipe_now_us();
 	c->is_new = c->is_rejected = 1;
+	c->accept_wait_us = s->queue_empty_us ? c->last_active_us - s->queue_empty_us : 0;
 	LIST_INSERT_HEAD(&s->connections, c, entry);
 	s->connection_count++;
 	s->accepted_count++;
@@ -429,14 +440,30 @@
 	static struct snipe_log_limit limit;
 	unsigned suppressed;
 
-	s->is_accepting = 0;
-	event_del(&s->accept);
+	stop_accepting(s);
 	if (snipe_log_allow(&limit, snipe_now_us(), 1, &suppressed))
 		snipe_log(SNIPE_LOG_WARNING, "accept_failed",
 			  "err=\"%s\" connections=%d suppressed=%u", g_strerror(err),
 			  s->connection_count, suppressed);
 }
 
+/* Connections that are left in the queue arrived after it was last empty, or after the last
+ * LISTEN_BACKLOG of them were accepted. */
+static void update_accept_queue(struct snipe_h1_server *s, int is_empty, int64_t now_us)
+{
+	if (is_empty) {
+		s->queue_empty_us = s->queue_mark_us = 0;
+		return;
+	}
+	if (!s->queue_empty_us)
+		s->queue_empty_us = s->queue_mark_us = now_us;
+	if (s->accepted_count - s->queue_mark_count >= LISTEN_BACKLOG) {
+		s->queue_empty_us = s->queue_mark_us;
+		s->queue_mark_us = now_us;
+		s->queue_mark_count = s->accepted_count;
+	}
+}
+
 static int is_lasting_error(int err)
 {
 	return err == EMFILE || err == ENFILE || err == ENOBUFS || err == ENOMEM;
@@ -446,18 +473,22 @@
 {
 	struct snipe_h1_server *s = arg;
 	int64_t start = snipe_now_us();
+	int is_empty = 0;
 
 	(void)what;
 	for (int i = 0; i < ACCEPT_BATCH && s->is_accepting; i++) {
 		int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-		if (fd >= 0)
+		if (fd >= 0) {
 			add_connection(s, fd);
-		else if (errno == EAGAIN)
+		} else if (errno == EAGAIN) {
+			is_empty = 1;
 			break;
-		else if (is_lasting_error(errno))
+		} else if (is_lasting_error(errno)) {
 			pause_accepting(s, errno);
+		}
 	}
+	update_accept_queue(s, is_empty, start);
 	s->accept_time_us += snipe_now_us() - start;
 }
 
@@ -553,6 +584,16 @@
 	return 0;
 }
 
+int64_t snipe_h1_accept_wait_us(const struct snipe_h1_request *req)
+{
+	return req->connection->is_new ? req->connection->accept_wait_us : 0;
+}
+
+int snipe_h1_is_client_gone(const struct snipe_h1_request *req)
+{
+	return snipe_h1_stream_is_peer_closed(&req->connection->stream);
+}
+
 void snipe_h1_server_finish(struct snipe_h1_server *s)
 {
 	struct snipe_h1_connection *next;
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -49,7 +49,8 @@
 	int is_head;			 /* response to HEAD: the body is not sent */
 	const char *head_content_length; /* with is_head: value of Content-Length, or NULL */
 	int close;			 /* end the connection after this response */
-	int is_rejection; /* if there are too many connections, this one is closed first */
+	int is_rejection; /* later requests of the connection wait behind those of others; if
+			     there are too many connections, this one is closed first */
 };
 
 struct snipe_h1_server_ops {
@@ -83,6 +84,10 @@
 	int is_listening;
 	int fd;
 	struct event accept;
+	int64_t queue_empty_us; /* all connections that wait to be accepted came later; 0: none
+				   waits */
+	int64_t queue_mark_us;	/* the next value of queue_empty_us */
+	uint64_t queue_mark_count; /* accepted connections at that time */
 	struct event timeout_check;
 	LIST_HEAD(snipe_h1_connections, snipe_h1_connection) connections;
 	/* Idle connections, the least recently used first: those whose last request was
@@ -108,6 +113,13 @@
 /* Closes the listener and all connections; pending requests are not reported as cancelled. */
 void snipe_h1_server_finish(struct snipe_h1_server *s);
 
+/* How long the connection of a request has probably waited to be accepted, in microseconds; 0
+ * if it is not the first request of its connection. */
+int64_t snipe_h1_accept_wait_us(const struct snipe_h1_request *req);
+/* Nonzero if the client has disconnected, which the cancelled callback may report later. Costs
+ * a system call. */
+int snipe_h1_is_client_gone(const struct snipe_h1_request *req);
+
 /* Answers a request and frees it. */
 void snipe_h1_respond(struct snipe_h1_request *req, const struct snipe_h1_response *response);
 
--- a/libs/h1/stream.c
+++ b/libs/h1/stream.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <event2/event.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -151,3 +152,10 @@
 {
 	shutdown(s->fd, SHUT_WR);
 }
+
+int snipe_h1_stream_is_peer_closed(const struct snipe_h1_stream *s)
+{
+	struct pollfd p = {s->fd, POLLRDHUP, 0};
+
+	return poll(&p, 1, 0) > 0;
+}
--- a/libs/h1/stream.h
+++ b/libs/h1/stream.h
@@ -57,6 +57,9 @@
 void snipe_h1_stream_resume(struct snipe_h1_stream *s);
 /* Closes the sending direction. */
 void snipe_h1_stream_shutdown(struct snipe_h1_stream *s);
+/* Nonzero if the peer has closed or reset the connection, also if input that it sent before is
+ * not received yet. Costs a system call. */
+int snipe_h1_stream_is_peer_closed(const struct snipe_h1_stream *s);
 
 #ifdef __cplusplus
 }
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -74,6 +74,14 @@
 		static_cast<std::pair<Entry *, int> *>(arg)->first->cancel_count++;
 	}
 	std::pair<Entry *, int> handles[2] = {{this, 0}, {this, 1}};
+	struct snipe_loop_lag lag;
+	// The loop reads requests of clients this long after they arrive.
+	void set_lag(int64_t us)
+	{
+		snipe_loop_lag_schedule(&lag, snipe_now_us());
+		snipe_loop_lag_probe(&lag, snipe_now_us() + us);
+		snipe_loop_lag_schedule(&lag, 0);
+	}
 
 	void SetUp() override
 	{
@@ -117,6 +125,8 @@
 		config.guard = &guard;
 		config.profile = &profile;
 		config.counters = &counters;
+		snipe_loop_lag_init(&lag);
+		config.lag = &lag;
 		ASSERT_EQ(snipe_entry_init(&entry, &config, &err), 0) << err.text;
 	}
 	void TearDown() override
@@ -690,3 +700,38 @@
 	EXPECT_NE(s.in.find("node_lost"), std::string::npos);
 	init_peer(&servers[lost], loop.base, "again");
 }
+
+// A late event loop sent requests on whose clients had left.
+TEST_F(Entry, ARequestWhoseClientLeftBeforeItWasReadIsNotSentOn)
+{
+	apply_default_tables();
+	set_lag(200000);
+	Socket s = connect_and_send("/read/x");
+
+	s.close_now();
+	loop.run_ms(100);
+	EXPECT_TRUE(calls.empty());
+	EXPECT_EQ(snipe_entry_in_flight(&entry), 0);
+}
+
+TEST_F(Entry, ARequestWhoseDeadlinePassedBeforeItWasReadIsNotSentOn)
+{
+	apply_default_tables();
+	set_lag(800000);
+	Socket s = connect_and_send("/read/x", "Left: 700\r\n");
+
+	EXPECT_EQ(status(s), 503);
+	EXPECT_TRUE(calls.empty());
+}
+
+TEST_F(Entry, TheTimeForWhichARequestWasUnreadIsTakenOffItsTimeLeft)
+{
+	apply_default_tables();
+	set_lag(300000);
+	Socket s = connect_and_send("/read/x", "Left: 700\r\n");
+
+	ASSERT_TRUE(wait_for_calls(1));
+	EXPECT_LE(calls[0].timeout_us, 400000);
+	reply(calls[0], SNIPE_ANSWER_COMPLETE);
+	EXPECT_EQ(status(s), 200);
+}
--- a/tests/h1/server_test.cc
+++ b/tests/h1/server_test.cc
@@ -325,3 +325,42 @@
 	ASSERT_TRUE(t.wait_for_open(1));
 	t.answer("/1", "ok");
 }
+
+TEST(H1Server, TellsWhetherTheClientOfARequestIsGone)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address), other = Socket::connect_to(t.address);
+
+	c.send_text(get("/1"));
+	other.send_text(get("/2"));
+	ASSERT_TRUE(t.wait_for_open(2));
+	EXPECT_FALSE(snipe_h1_is_client_gone(t.open.at("/1")));
+	c.send_text(get("/3"));
+	c.close_now();
+	EXPECT_TRUE(snipe_h1_is_client_gone(t.open.at("/1"))) << "also behind another request";
+	EXPECT_FALSE(snipe_h1_is_client_gone(t.open.at("/2")));
+}
+
+// Requests that had waited long before they could be accepted were sent on though their clients
+// had left.
+TEST(H1Server, TellsHowLongAConnectionWaitedToBeAccepted)
+{
+	Server t;
+	Socket busy = Socket::connect_to(t.address);
+
+	t.s.limits.max_connections = 1;
+	busy.send_text(get("/busy"));
+	ASSERT_TRUE(t.wait_for_open(1));
+	EXPECT_LT(snipe_h1_accept_wait_us(t.open.at("/busy")), 100000);
+	t.loop.run_ms(100);
+	Socket c = Socket::connect_to(t.address);
+	c.send_text(get("/1"));
+	t.loop.run_ms(200);
+	busy.close_now();
+	ASSERT_TRUE(t.loop.until([&] { return t.open.count("/1"); }));
+	EXPECT_GE(snipe_h1_accept_wait_us(t.open.at("/1")), 200000);
+	t.answer("/1", "one");
+	c.send_text(get("/2"));
+	ASSERT_TRUE(t.loop.until([&] { return t.open.count("/2"); }));
+	EXPECT_EQ(snipe_h1_accept_wait_us(t.open.at("/2")), 0);
+}
