entry: spread the Retry-After of requests beyond the rate

It is now spread by half to each side, as that of other rejections is. The test fails without it: 20 rejections carry fewer than ten different times.

--- a/libs/gateway/entry_check.c
+++ b/libs/gateway/entry_check.c
@@ -132,6 +132,12 @@
 		  (unsigned long long)call->routing->version, suppressed);
 }
 
+/* Spreads a Retry-After, so that clients rejected together do not return together. */
+static int64_t spread_us(const struct snipe_entry *e, int64_t mean_us)
+{
+	return (int64_t)((double)mean_us * (0.5 + g_rand_double(e->rng)));
+}
+
 static struct snipe_entry_error check_rate(struct snipe_entry_call *call)
 {
 	struct snipe_entry *e = call->entry;
@@ -143,7 +149,7 @@
 	hash = snipe_hash64_str(call->routing->workspaces[call->workspace].name);
 	if (!snipe_fleet_quota_take(&e->quota, call->received_us, hash, &retry_after)) {
 		log_rate_exceeded(call, hash);
-		return (struct snipe_entry_error){429, "over_rate", retry_after};
+		return (struct snipe_entry_error){429, "over_rate", spread_us(e, retry_after)};
 	}
 	call->workspace_hash = hash;
 	return accepted;
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 #include <memory>
 #include <string>
 #include <vector>
@@ -735,3 +736,33 @@
 	reply(calls[0], SNIPE_ANSWER_COMPLETE);
 	EXPECT_EQ(status(s), 200);
 }
+
+// Clients that were rejected together came back together.
+TEST_F(Entry, TheRetryAfterOfRequestsBeyondTheRateIsSpread)
+{
+	std::vector<Socket> clients;
+	std::set<double> delays;
+	auto retry_after = [](const Socket &c) {
+		size_t at = c.in.find("Retry-After: ");
+
+		return at == std::string::npos
+			       ? 0
+			       : atof(c.in.c_str() + at + strlen("Retry-After: "));
+	};
+
+	build_default_tables();
+	routing->workspaces[0].rate = 1;
+	routing->workspaces[0].burst = 1;
+	apply_tables();
+	for (int i = 0; i < 20; i++)
+		clients.push_back(connect_and_send("/read/x"));
+	ASSERT_TRUE(loop.until([&] {
+		delays.clear();
+		for (auto &c : clients)
+			if (c.has(" 429 "))
+				delays.insert(retry_after(c));
+		return delays.size() >= 10;
+	}));
+	EXPECT_GT(*delays.rbegin(), 1.5 * *delays.begin());
+	EXPECT_GT(*delays.begin(), 0);
+}
