h1: free the output of a slow peer as it is taken

By reading: output that the kernel had taken stayed in memory until the buffer was drained completely, which a peer that is always a little behind never lets happen.

A failed accept pauses the listener whatever the error, unless it is one of a single connection.

--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -245,8 +245,8 @@
 		begin_lingering_close(c);
 }
 
-/* Whether the connection ends after this response. Requests that were sent behind it would have
- * to be sent again, so that while there are any, only an error ends it. */
+/* Whether the connection ends after this response. Requests that were sent behind a rejected
+ * one would have to be sent again. */
 static int closes_after(const struct snipe_h1_request *req,
 			const struct snipe_h1_response *response)
 {
@@ -464,9 +464,10 @@
 	}
 }
 
-static int is_lasting_error(int err)
+/* Whether the error is one of a single connection. */
+static int is_connection_error(int err)
 {
-	return err == EMFILE || err == ENFILE || err == ENOBUFS || err == ENOMEM;
+	return err == EINTR || err == ECONNABORTED || err == EPROTO;
 }
 
 static void on_acceptable(evutil_socket_t listener, short what, void *arg)
@@ -484,7 +485,7 @@
 		} else if (errno == EAGAIN) {
 			is_empty = 1;
 			break;
-		} else if (is_lasting_error(errno)) {
+		} else if (!is_connection_error(errno)) {
 			pause_accepting(s, errno);
 		}
 	}
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -113,8 +113,8 @@
 /* Closes the listener and all connections; pending requests are not reported as cancelled. */
 void snipe_h1_server_finish(struct snipe_h1_server *s);
 
-/* How long the connection of a request has probably waited to be accepted, in microseconds; 0
- * if it is not the first request of its connection. */
+/* How long the connection of a request may have waited to be accepted, in microseconds; 0 once
+ * a request of the connection was answered. */
 int64_t snipe_h1_accept_wait_us(const struct snipe_h1_request *req);
 /* Nonzero if the client has disconnected, which the cancelled callback may report later. Costs
  * a system call. */
--- a/libs/h1/stream.c
+++ b/libs/h1/stream.c
@@ -139,6 +139,11 @@
 
 	if (n == len)
 		return;
+	/* Output of a slow peer may never be drained completely. */
+	if (s->sent_len > s->unsent.len / 2) {
+		remove_prefix(&s->unsent, s->sent_len);
+		s->sent_len = 0;
+	}
 	snipe_buffer_append(&s->unsent, data + n, len - n);
 	event_add(&s->write, NULL);
 }
--- a/tests/h1/stream_test.cc
+++ b/tests/h1/stream_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "h1/stream.h"
 #include "support/loop.h"
@@ -165,3 +166,25 @@
 		EXPECT_TRUE(t.loop.until([&] { return t.ended == 1; }));
 	}
 }
+
+// The output of a peer that is always a little behind must not pile up.
+TEST(H1Stream, OutputOfASlowPeerIsFreedAsItIsTaken)
+{
+	Stream t;
+	std::string piece = pattern(500000);
+	std::vector<char> taken(200000);
+	size_t sent = 0, most = 0;
+
+	for (int i = 0; i < 200; i++) {
+		while (snipe_h1_stream_unsent(&t.s) > 4000000) {
+			recv(t.peer.fd, taken.data(), taken.size(), 0);
+			event_base_loop(t.loop.base, EVLOOP_NONBLOCK);
+		}
+		snipe_h1_stream_send(&t.s, piece.data(), piece.size());
+		sent += piece.size();
+		most = std::max(most, t.s.unsent.size);
+	}
+	EXPECT_EQ(t.drained, 0);
+	EXPECT_EQ(sent, 100000000u);
+	EXPECT_LT(most, 40000000u);
+}
