--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -49,8 +49,7 @@
 	int is_head;			 /* response to HEAD: the body is not sent */
 	const char *head_content_length; /* with is_head: value of Content-Length, or NULL */
 	int close;			 /* end the connection after this response */
-	int is_rejection; /* later requests of the connection wait behind those of others; if
-			     there are too many connections, this one is closed first */
+	int is_rejection; /* if there are too many connections, this one is closed first */
 };
 
 struct snipe_h1_server_ops {
