--- a/review/common/rig.cc
+++ b/review/common/rig.cc
@@ -245,6 +245,18 @@
 	}
 }
 
+// The body of the answer to /ROUTE/MS/BYTES/...: a line without BYTES.
+static std::string BodyOf(const Run &run)
+{
+	size_t at = run.path.find('/', 1);
+	std::string body = "body of " + run.id;
+
+	at = at == std::string::npos ? at : run.path.find('/', at + 1);
+	if (at != std::string::npos && atoi(run.path.c_str() + at + 1) > 0)
+		body.resize((size_t)atoi(run.path.c_str() + at + 1), '.');
+	return body;
+}
+
 void Backend::Answer(Job *job)
 {
 	Run &run = rig_.runs[job->run];
@@ -256,7 +268,7 @@
 		run.ended = true;
 		job->req->callback_data = nullptr;
 		rig_.log.Line("server %s answers %s", id.c_str(), run.id.c_str());
-		Respond(job->req, 200, "body of " + run.id,
+		Respond(job->req, 200, BodyOf(run),
 			{{"Attempt-Id", run.id},
 			 {"Server-Signature", "s." + id},
 			 {"Instance-Id", id}});
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -44,7 +44,8 @@
 
 class Rig;
 
-// A backend server. A request for /ROUTE/MS/... runs for MS milliseconds.
+// A backend server. A request for /ROUTE/MS/BYTES/... runs for MS milliseconds and gets a body
+// of BYTES bytes.
 class Backend
 {
       public:
