--- a/review/common/rig.cc
+++ b/review/common/rig.cc
@@ -236,6 +236,22 @@
 	Job *job = static_cast<Job *>(arg);
 	Backend *s = job->backend;
 
+	if (job->crashes && s->rig_.crashes_in_answer && job->req) {
+		std::string id = s->rig_.runs[job->run].id, signature = "s." + s->id;
+		struct snipe_h1_header fields[] = {
+			{{"Attempt-Id", 10}, {id.data(), id.size()}},
+			{{"Server-Signature", 16}, {signature.data(), signature.size()}}};
+		struct snipe_h1_response r = {};
+
+		r.status = 200;
+		r.headers = fields;
+		r.header_count = 2;
+		r.is_head = 1;
+		r.head_content_length = "400"; // of which nothing comes
+		job->req->callback_data = nullptr;
+		snipe_h1_respond(job->req, &r);
+		job->req = nullptr;
+	}
 	if (job->crashes) {
 		s->rig_.log.Line("server %s crashes with %zu requests running", s->id.c_str(),
 				 s->jobs_.size());
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -123,6 +123,7 @@
 	std::vector<Run> runs;
 	std::vector<std::string> routes, services, tenants; // rows of the manifest
 	std::string crash_path;				    // ends a server that runs it
+	bool crashes_in_answer = false; // when the head of its answer is out, not before
 	int slots = 40;
 
       private:
