entry, chain limit: show whether the need of a request is known and when a service limits

Request lines get chain_services, chain_limit_changed tells when a service begins or ceases to limit, call_samples_total counts the samples that teach and those that do not. No change of logic.

--- a/libs/core/call_profile.c
+++ b/libs/core/call_profile.c
@@ -265,6 +265,9 @@
 		add_sample(p);
 		for (int j = 0; j < p->callee_count; j++)
 			estimate_calls(p, j);
+		p->samples_used++;
+	} else {
+		p->samples_dropped++;
 	}
 	p->recent_calls *= failed_factor;
 	p->recent_failed_calls *= failed_factor;
--- a/libs/core/call_profile.h
+++ b/libs/core/call_profile.h
@@ -76,6 +76,7 @@
 	double samples; /* decaying number */
 	int64_t sample_start_us;
 	double recent_calls, recent_failed_calls; /* decaying sums */
+	uint64_t samples_used, samples_dropped;	  /* since the start; dropped: calls failed */
 };
 
 void snipe_call_profile_init(struct snipe_call_profile *p, int64_t now_us);
--- a/libs/core/chain_limit.c
+++ b/libs/core/chain_limit.c
@@ -4,6 +4,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/error.h"
+
 /* Time constant of the demand at an entry: short enough to follow a burst, long enough for some
  * requests of each route at each of a hundred entries. */
 #define DEMAND_TIME_US 1000000.0
@@ -242,6 +244,7 @@
 	was_limiting = s->is_limiting;
 	s->is_limiting = s->slots > 0 && demand > slots &&
 			 (s->is_limiting || s->busy_slots >= FULL_RATIO * s->slots);
+	s->has_changed |= s->is_limiting != was_limiting;
 	if (!was_limiting)
 		s->limiting_since_us = now_us;
 	for (int i = 0; i < s->rank_count; i++) {
@@ -274,3 +277,27 @@
 		compute_shares(s, now_us);
 	}
 }
+
+int snipe_chain_limit_next_change(struct snipe_chain_limit *l,
+				  struct snipe_chain_change *change)
+{
+	for (int i = 0; i < l->service_count; i++) {
+		struct snipe_chain_service *s = &l->services[i];
+
+		if (!s->has_changed)
+			continue;
+		s->has_changed = 0;
+		*change = (struct snipe_chain_change){
+			.service = s->service,
+			.is_limiting = s->is_limiting,
+			.slots = s->slots,
+			.busy_slots = s->busy_slots,
+			.rejected_ratio = s->rejected_ratio,
+			.trim = s->trim,
+		};
+		for (int j = 0; j < s->rank_count; j++)
+			change->demand += s->ranks[j].demand;
+		return 0;
+	}
+	return SNIPE_ERR_NOT_FOUND;
+}
--- a/libs/core/chain_limit.h
+++ b/libs/core/chain_limit.h
@@ -56,6 +56,7 @@
 	int has_servers;			  /* in the last update, or in this one */
 	double trim; /* factor on the slots that corrects errors of the cost */
 	int is_limiting;
+	int has_changed; /* is_limiting changed, and no snipe_chain_limit_next_change yet */
 	int64_t limiting_since_us;
 	struct snipe_chain_rank ranks[SNIPE_CHAIN_LIMIT_RANKS]; /* in the order of rank */
 	int rank_count;
@@ -93,6 +94,20 @@
 /* report_interval_us is the time between two reports of a node, microseconds. */
 void snipe_chain_limit_end_update(struct snipe_chain_limit *l, int64_t now_us,
 				  int64_t report_interval_us);
+/* State of a service as of the last update. */
+struct snipe_chain_change {
+	uint64_t service;
+	int is_limiting;	  /* requests that need it are rejected, in part */
+	double slots, busy_slots; /* of the fleet */
+	double demand;		  /* of the fleet, in slots */
+	double rejected_ratio;	  /* calls that its gates rejected, 0 to 1 */
+	double trim;
+};
+
+/* Fills the state of a service that began or ceased to limit requests since the last call.
+ * Returns 0, or SNIPE_ERR_NOT_FOUND if there is none. */
+int snipe_chain_limit_next_change(struct snipe_chain_limit *l,
+				  struct snipe_chain_change *change);
 
 #ifdef __cplusplus
 }
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "base/log.h"
 #include "core/connection_limit.h"
 #include "gateway/crash_log.h"
 #include "gateway/gate.h"
@@ -290,6 +291,10 @@
 	e->count_cancelled = snipe_counters_get(c, "requests_cancelled_total", "");
 	e->count_retries = snipe_counters_get(c, "requests_retried_total", "");
 	e->gauge_in_flight = snipe_counters_get(c, "requests_in_flight", "");
+	e->count_samples_used =
+		snipe_counters_get(c, "call_samples_total", "calls=\"succeeded\"");
+	e->count_samples_dropped =
+		snipe_counters_get(c, "call_samples_total", "calls=\"failed\"");
 	e->busy_rejected = snipe_counters_get(c, "busy_us_total", "work=\"reject\"");
 	e->busy_admitted = snipe_counters_get(c, "busy_us_total", "work=\"admit\"");
 	e->busy_answered = snipe_counters_get(c, "busy_us_total", "work=\"answer\"");
@@ -389,12 +394,37 @@
 		snipe_chain_limit_add_demand(&e->chain_limit, &r->demands[i]);
 }
 
+static void log_chain_changes(struct snipe_entry *e)
+{
+	static struct snipe_log_limit limit;
+	struct snipe_chain_change c;
+	unsigned suppressed;
+
+	while (snipe_chain_limit_next_change(&e->chain_limit, &c) == 0) {
+		if (!snipe_log_allow(&limit, snipe_now_us(), SNIPE_LOG_LINES_PER_S,
+				     &suppressed))
+			continue;
+		snipe_log(SNIPE_LOG_INFO, "chain_limit_changed",
+			  "service=%s limiting=%d slots=%.0f busy=%.0f demand=%.1f "
+			  "rejected_ratio=%.3f trim=%.2f suppressed=%u",
+			  snipe_directory_service_name(e->config.directory, c.service),
+			  c.is_limiting, c.slots, c.busy_slots, c.demand, c.rejected_ratio,
+			  c.trim, suppressed);
+	}
+}
+
 void snipe_entry_update_chain_limit(struct snipe_entry *e)
 {
+	const struct snipe_call_profile *p = e->config.profile;
+
 	snipe_chain_limit_begin_update(&e->chain_limit);
 	snipe_directory_for_each_report(e->config.directory, add_report, e);
 	snipe_chain_limit_end_update(&e->chain_limit, snipe_now_us(),
 				     snipe_directory_interval_us(e->config.directory));
+	log_chain_changes(e);
+	snipe_counters_set(e->config.counters, e->count_samples_used, (int64_t)p->samples_used);
+	snipe_counters_set(e->config.counters, e->count_samples_dropped,
+			   (int64_t)p->samples_dropped);
 }
 
 void snipe_entry_fill_report(struct snipe_entry *e, int64_t now_us, struct snipe_node_report *r)
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -89,7 +89,7 @@
 		  "request=%s status=%d reason=%s route=%s service=%s workspace=%s inner=%d "
 		  "server_node=%s attempts=%d arrived_attempts=%d took_ms=%lld left_ms=%lld "
 		  "retry_after_ms=%lld tables=%llx tables_age_ms=%lld entry_limit=%.1f "
-		  "chain_share=%.3f bottleneck=%s bottleneck_slot_ms=%.1f "
+		  "chain_services=%d chain_share=%.3f bottleneck=%s bottleneck_slot_ms=%.1f "
 		  "in_flight=%d suppressed=%u",
 		  call->request_id, status, reason, call->route ? call->route->name : "",
 		  call->service ? call->service : "",
@@ -105,7 +105,8 @@
 		  (long long)(retry_after_us / 1000),
 		  (unsigned long long)(call->routing ? call->routing->version : 0),
 		  (long long)(e->confirmed_us ? (now - e->confirmed_us) / 1000 : -1),
-		  call->entry_route ? call->entry_route->limit.limit : 0.0, call->chain_share,
+		  call->entry_route ? call->entry_route->limit.limit : 0.0,
+		  call->entry_route ? call->entry_route->cost.count : 0, call->chain_share,
 		  snipe_directory_service_name(e->config.directory, call->bottleneck),
 		  call->entry_route
 			  ? snipe_chain_cost_at(&call->entry_route->cost, call->bottleneck) /
