--- a/tests/core/call_profile_test.cc
+++ b/tests/core/call_profile_test.cc
@@ -26,6 +26,7 @@
 		int kind; // 0: call, 1: end
 		uint64_t route;
 		int64_t run_us;
+		bool fails = false;
 		bool operator<(const Event &o) const
 		{
 			return at > o.at;
@@ -33,6 +34,7 @@
 	};
 	std::priority_queue<Event> events;
 	bool calls_fail = false;
+	double failing_part = 0; // part of the calls that fail, and end their run
 
 	Server()
 	{
@@ -42,21 +44,30 @@
 	{
 		struct snipe_chain_cost cost = {{{DEEP, 20000.0}}, 1};
 
+		bool fails = calls_fail || e.fails;
+
 		if (e.kind == 1) {
-			snipe_call_profile_end(&profile, e.at, e.route, e.run_us, !calls_fail);
+			snipe_call_profile_end(&profile, e.at, e.route, e.run_us, !fails);
 			return;
 		}
 		snipe_call_profile_call(&profile, e.at, e.route);
-		snipe_call_profile_answer(&profile, e.route, !calls_fail,
-					  calls_fail ? nullptr : &cost);
+		snipe_call_profile_answer(&profile, e.route, !fails, fails ? nullptr : &cost);
 	}
 	void start(uint64_t route, uint64_t callee, int calls)
 	{
 		int64_t run = std::uniform_int_distribution<int64_t>(60000, 180000)(rng);
+		int64_t step = run / (calls + 2);
 
 		snipe_call_profile_start(&profile, now, route);
-		for (int i = 0; i < calls; i++)
-			events.push({now + run * (i + 1) / (calls + 2), 0, callee, 0});
+		for (int i = 0; i < calls; i++) {
+			bool fails = std::uniform_real_distribution<>()(rng) < failing_part;
+			events.push({now + step * (i + 1), 0, callee, 0, fails});
+			if (fails) {
+				run = step * (i + 1);
+				events.push({now + run, 1, route, run, true});
+				return;
+			}
+		}
 		events.push({now + run, 1, route, run});
 	}
 	struct Load {
@@ -133,6 +144,23 @@
 	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 6000);
 }
 
+// Guards against a shortage that starts before the first calm second and is never seen.
+TEST(CallProfile, CallsThatFailFromTheStartTeachALowerBound)
+{
+	Server s;
+
+	s.failing_part = 0.4;
+	s.run(5, {{TIPS, 60, LOOKUP, 4}, {CARDS, 10, 0, 0}});
+	// A chain that loses two calls in five makes (1 - 0.6^4) / 0.4 of them.
+	EXPECT_GE(s.cost(TIPS, DEEP), 0.8 * 2.18 * 20000);
+	EXPECT_LE(s.cost(TIPS, DEEP), 4 * 20000);
+	EXPECT_EQ(s.cost(CARDS, DEEP), 0);
+	s.failing_part = 0;
+	s.run(10, {{TIPS, 60, LOOKUP, 4}, {CARDS, 10, 0, 0}});
+	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 8000);
+	EXPECT_EQ(s.cost(CARDS, DEEP), 0);
+}
+
 TEST(CallProfile, FollowsAChangeOfTheCalls)
 {
 	Server s;
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -291,6 +291,7 @@
 	std::unique_ptr<Pending> inner;
 	std::string id;
 	bool crashes;
+	int inner_calls = 0; // started
 };
 
 FakeServer::FakeServer(Loop &loop, Record &record, const std::string &service,
@@ -465,7 +466,8 @@
 
 	r.host = behaviour.inner_host;
 	r.path = behaviour.inner;
-	r.id = job->id + "-inner";
+	r.id = job->id + "-inner" + (job->inner_calls ? std::to_string(job->inner_calls) : "");
+	job->inner_calls++;
 	job->inner = std::make_unique<Pending>(&outbound_, r);
 	event_add(job->timer, &poll);
 }
@@ -480,8 +482,12 @@
 		event_add(job->timer, &poll);
 		return;
 	}
-	if (job->inner && job->inner->reply.status != 200)
+	if (job->inner && job->inner->reply.status != 200) {
 		status = 500;
+	} else if (job->inner && job->inner_calls < behaviour.inner_calls) {
+		StartInner(job);
+		return;
+	}
 	running_--;
 	jobs_.erase(job);
 	event_free(job->timer);
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -120,6 +120,7 @@
 	std::string crash_path; // a request for it ends the process, or empty
 	std::string inner;	// path of a call to make through the own node, or empty
 	std::string inner_host;
+	int inner_calls = 1; // how many, one after the other, until one fails
 };
 
 class FakeServer
