call profile: learn what requests need from calls that fail

Callers saw, after a restart in a shortage, nearly all requests fail for good: the chain limit knew no cost and admitted everything.

Cause: samples from times in which more than one call in 20 fails were dropped, answers to failed calls were not read for the cost, and a run that failed had no running time. A node that starts in a shortage sees no other times.

Such samples now make a rough cost, marked so in answers. Chains that failed calls cut short are extended: a run of n calls succeeds with chance q^n if each succeeds with chance q. It is used until there is a cost from times in which calls succeed, which it never changes.

--- a/libs/core/call_profile.c
+++ b/libs/core/call_profile.c
@@ -9,15 +9,20 @@
 /* Length of one sample of the runs and calls: longer than most runs, whose calls would else
  * fall into other samples than their starts and ends. */
 #define SAMPLE_US 500000
-/* Time constant of the sums over samples. */
+/* Time constants of the sums over samples. Chains are cut shorter or less short from one second
+ * to the next. */
 #define MEMORY_US 30000000.0
+#define TRUNCATED_MEMORY_US 2000000.0
 /* Fewer samples, or runs of a route, do not show yet how many calls it makes. */
 #define MIN_SAMPLES 3.0
+#define MIN_TRUNCATED_SAMPLES 2.0
 #define MIN_RUNS 5.0
 /* Time constant of the part of the calls that fail; while it is above MAX_FAILED_RATIO, samples
- * do not count. */
+ * count as truncated. */
 #define FAILED_TIME_US 1000000.0
 #define MAX_FAILED_RATIO 0.05
+/* Highest part of the calls that fail for which the chains can be told. */
+#define MAX_TOLD_FAILED_RATIO 0.95
 /* A route makes calls only if its estimate is above this many standard errors. */
 #define MIN_STANDARD_ERRORS 3.0
 /* Weight of one run in the mean run time, and of one answer in the mean cost of a call. */
@@ -51,6 +56,7 @@
 {
 	for (int i = 0; i < cost->count; i++)
 		insert_cost(sum, cost->services[i].service, cost->services[i].slot_us * factor);
+	sum->is_rough |= factor > 0 && cost->is_rough;
 }
 
 double snipe_chain_cost_at(const struct snipe_chain_cost *cost, uint64_t service)
@@ -66,7 +72,9 @@
 {
 	struct snipe_chain_cost next = {.count = 0};
 
-	if (mean->count > 0) {
+	if (mean->count > 0 && sample->is_rough && !mean->is_rough)
+		return;
+	if (mean->count > 0 && sample->is_rough == mean->is_rough) {
 		snipe_chain_cost_add(&next, mean, 1 - weight);
 		snipe_chain_cost_add(&next, sample, weight);
 		*mean = next;
@@ -122,37 +130,54 @@
 }
 
 /* Adds the sample to the sums of the least squares problem. */
-static void add_sample(struct snipe_call_profile *p)
+static void add_sample(const struct snipe_call_profile *p, struct snipe_call_sums *s)
 {
-	p->samples++;
+	s->samples++;
 	for (int i = 0; i < p->route_count; i++) {
-		struct snipe_call_profile_route *r = &p->routes[i];
+		double runs = p->routes[i].sample_runs;
 
-		r->runs += r->sample_runs;
+		s->runs[i] += runs;
+		s->failed_runs[i] += p->routes[i].sample_failed_runs;
 		for (int j = 0; j < p->route_count; j++)
-			r->products[j] += r->sample_runs * p->routes[j].sample_runs;
+			s->products[i][j] += runs * p->routes[j].sample_runs;
 		for (int j = 0; j < p->callee_count; j++)
-			r->call_products[j] += r->sample_runs * p->callees[j].sample_calls;
+			s->call_products[i][j] += runs * p->callees[j].sample_calls;
+	}
+	for (int j = 0; j < p->callee_count; j++) {
+		s->calls[j] += p->callees[j].sample_calls;
+		s->failed_calls[j] += p->callees[j].sample_failed_calls;
+		s->squares[j] += p->callees[j].sample_calls * p->callees[j].sample_calls;
 	}
-	for (int j = 0; j < p->callee_count; j++)
-		p->callees[j].squares +=
-			p->callees[j].sample_calls * p->callees[j].sample_calls;
 }
 
-static void decay_sums(struct snipe_call_profile *p, double factor)
+static void decay_sums(const struct snipe_call_profile *p, struct snipe_call_sums *s,
+		       double factor)
 {
-	p->samples *= factor;
+	s->samples *= factor;
 	for (int i = 0; i < p->route_count; i++) {
-		struct snipe_call_profile_route *r = &p->routes[i];
-
-		r->runs *= factor;
+		s->runs[i] *= factor;
+		s->failed_runs[i] *= factor;
 		for (int j = 0; j < p->route_count; j++)
-			r->products[j] *= factor;
+			s->products[i][j] *= factor;
 		for (int j = 0; j < p->callee_count; j++)
-			r->call_products[j] *= factor;
+			s->call_products[i][j] *= factor;
 	}
-	for (int j = 0; j < p->callee_count; j++)
-		p->callees[j].squares *= factor;
+	for (int j = 0; j < p->callee_count; j++) {
+		s->calls[j] *= factor;
+		s->failed_calls[j] *= factor;
+		s->squares[j] *= factor;
+	}
+}
+
+/* Returns the sums that tell about a route, NULL while none do. */
+static const struct snipe_call_sums *route_sums(const struct snipe_call_profile *p, int route)
+{
+	if (p->complete.samples >= MIN_SAMPLES && p->complete.runs[route] >= MIN_RUNS)
+		return &p->complete;
+	if (p->truncated.samples >= MIN_TRUNCATED_SAMPLES &&
+	    p->truncated.runs[route] >= MIN_RUNS)
+		return &p->truncated;
+	return NULL;
 }
 
 /* Least squares over some of the routes. */
@@ -167,7 +192,7 @@
 /* Inverts the matrix of the products by Gauss-Jordan elimination without pivoting, which is
  * stable since it is positive semidefinite. Returns the position of a route that depends on
  * those before it, or -1. */
-static int invert_products(const struct snipe_call_profile *p, const struct estimate *e,
+static int invert_products(const struct snipe_call_sums *s, const struct estimate *e,
 			   double inverse[MAX_ROUTES][MAX_ROUTES])
 {
 	double m[MAX_ROUTES][MAX_ROUTES];
@@ -175,13 +200,13 @@
 
 	for (int i = 0; i < n; i++)
 		for (int j = 0; j < n; j++) {
-			m[i][j] = p->routes[e->routes[i]].products[e->routes[j]];
+			m[i][j] = s->products[e->routes[i]][e->routes[j]];
 			inverse[i][j] = i == j;
 		}
 	for (int i = 0; i < n; i++) {
 		double pivot = m[i][i];
 
-		if (pivot <= 1e-9 * p->routes[e->routes[i]].products[e->routes[i]])
+		if (pivot <= 1e-9 * s->products[e->routes[i]][e->routes[i]])
 			return i;
 		for (int j = 0; j < n; j++) {
 			m[i][j] /= pivot;
@@ -199,11 +224,11 @@
 	return -1;
 }
 
-static void fit(const struct snipe_call_profile *p, int callee, struct estimate *e)
+static void fit(const struct snipe_call_sums *s, int callee, struct estimate *e)
 {
 	double inverse[MAX_ROUTES][MAX_ROUTES];
-	double residual = p->callees[callee].squares, variance;
-	int dependent = invert_products(p, e, inverse);
+	double residual = s->squares[callee], variance;
+	int dependent = invert_products(s, e, inverse);
 
 	memset(e->calls, 0, sizeof(e->calls));
 	memset(e->standard_error, 0, sizeof(e->standard_error));
@@ -213,31 +238,30 @@
 	}
 	for (int i = 0; i < e->count; i++) {
 		for (int j = 0; j < e->count; j++)
-			e->calls[i] +=
-				inverse[i][j] * p->routes[e->routes[j]].call_products[callee];
-		residual -= e->calls[i] * p->routes[e->routes[i]].call_products[callee];
+			e->calls[i] += inverse[i][j] * s->call_products[e->routes[j]][callee];
+		residual -= e->calls[i] * s->call_products[e->routes[i]][callee];
 	}
-	variance = MAX(residual, 0) / MAX(p->samples - e->count, 1);
+	variance = MAX(residual, 0) / MAX(s->samples - e->count, 1);
 	for (int i = 0; i < e->count; i++)
 		e->standard_error[i] = sqrt(variance * inverse[i][i]);
 }
 
-/* Estimates the calls to a callee that a request of each route makes. The route whose estimate
- * is the least certain is left out until all are certain, or one is left. */
-static void estimate_calls(struct snipe_call_profile *p, int callee)
+/* Estimates the calls to a callee that a request of each route makes, for the routes of which
+ * these sums tell. The route whose estimate is the least certain is left out until all are
+ * certain, or one is left. */
+static void estimate_calls(struct snipe_call_profile *p, const struct snipe_call_sums *s,
+			   int callee)
 {
 	struct estimate e = {.count = 0};
 
-	for (int i = 0; i < p->route_count; i++) {
-		p->routes[i].calls[callee] = 0;
-		if (p->routes[i].runs >= MIN_RUNS)
+	for (int i = 0; i < p->route_count; i++)
+		if (s->runs[i] >= MIN_RUNS)
 			e.routes[e.count++] = i;
-	}
 	while (e.count > 0) {
 		int least = 0;
 		double margin, least_margin = INFINITY;
 
-		fit(p, callee, &e);
+		fit(s, callee, &e);
 		for (int i = 0; i < e.count; i++) {
 			margin = e.calls[i] - MIN_STANDARD_ERRORS * e.standard_error[i];
 			if (margin < least_margin) {
@@ -251,30 +275,60 @@
 		memmove(&e.routes[least], &e.routes[least + 1],
 			(size_t)(e.count - least) * sizeof(e.routes[0]));
 	}
+	for (int i = 0; i < p->route_count; i++)
+		if (route_sums(p, i) == s)
+			p->routes[i].calls[callee] = 0;
 	for (int i = 0; i < e.count; i++)
-		p->routes[e.routes[i]].calls[callee] = MAX(e.calls[i], 0);
+		if (route_sums(p, e.routes[i]) == s)
+			p->routes[e.routes[i]].calls[callee] = MAX(e.calls[i], 0);
+}
+
+/* Lengthens the chains of a route, estimated while calls failed, to what they would be if none
+ * did. If a run fails with its first failed call, and calls succeed independently with chance
+ * q, a run that needs n calls succeeds with chance q^n; n follows from both chances. A run that
+ * failed for another reason does not count: there are no more such runs than failed calls. */
+static void extend_chains(struct snipe_call_profile *p, const struct snipe_call_sums *s,
+			  int route)
+{
+	struct snipe_call_profile_route *r = &p->routes[route];
+	double failed_calls = 0, log_success = 0, failed, factor;
+
+	for (int j = 0; j < p->callee_count; j++) {
+		double ratio = (s->failed_calls[j] + 0.5) / (s->calls[j] + 1);
+
+		failed_calls += r->calls[j] * ratio;
+		log_success += r->calls[j] * log(1 - MIN(ratio, MAX_TOLD_FAILED_RATIO));
+	}
+	if (log_success >= 0)
+		return;
+	failed = MIN(s->failed_runs[route] / s->runs[route], failed_calls);
+	factor = log(MAX(1 - failed, 0.5 / s->runs[route])) / log_success;
+	for (int j = 0; j < p->callee_count; j++)
+		r->calls[j] *= MAX(factor, 1);
 }
 
 static void end_sample(struct snipe_call_profile *p, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - p->sample_start_us);
 	double failed_factor = exp(-elapsed_us / FAILED_TIME_US);
+	int is_truncated = p->recent_failed_calls > MAX_FAILED_RATIO * p->recent_calls;
+	struct snipe_call_sums *s = is_truncated ? &p->truncated : &p->complete;
 
-	if (p->recent_failed_calls <= MAX_FAILED_RATIO * p->recent_calls) {
-		decay_sums(p, exp(-elapsed_us / MEMORY_US));
-		add_sample(p);
-		for (int j = 0; j < p->callee_count; j++)
-			estimate_calls(p, j);
-		p->samples_used++;
-	} else {
-		p->samples_dropped++;
-	}
+	decay_sums(p, s, exp(-elapsed_us / (is_truncated ? TRUNCATED_MEMORY_US : MEMORY_US)));
+	add_sample(p, s);
+	for (int j = 0; j < p->callee_count; j++)
+		estimate_calls(p, s, j);
+	for (int i = 0; is_truncated && i < p->route_count; i++)
+		if (route_sums(p, i) == s)
+			extend_chains(p, s, i);
+	p->truncated_samples += (uint64_t)is_truncated;
+	p->complete_samples += (uint64_t)!is_truncated;
 	p->recent_calls *= failed_factor;
 	p->recent_failed_calls *= failed_factor;
 	for (int i = 0; i < p->route_count; i++)
-		p->routes[i].sample_runs = 0;
+		p->routes[i].sample_runs = p->routes[i].sample_failed_runs = 0;
 	for (int j = 0; j < p->callee_count; j++)
-		p->callees[j].sample_calls = 0;
+		p->callees[j].sample_calls = p->callees[j].sample_failed_calls = 0;
 	p->sample_start_us = now_us;
 }
 
@@ -298,15 +352,16 @@
 			    int64_t run_us, int is_success)
 {
 	struct snipe_call_profile_route *r = get_or_add_route(p, route);
+	double *mean_us;
 
 	advance(p, now_us);
 	if (!r)
 		return;
 	r->sample_runs += 0.5;
-	if (is_success)
-		r->run_us = r->run_us > 0
-				    ? r->run_us + RUN_WEIGHT * ((double)run_us - r->run_us)
-				    : (double)run_us;
+	r->sample_failed_runs += !is_success;
+	mean_us = is_success ? &r->run_us : &r->failed_run_us;
+	*mean_us = *mean_us > 0 ? *mean_us + RUN_WEIGHT * ((double)run_us - *mean_us)
+				: (double)run_us;
 }
 
 void snipe_call_profile_call(struct snipe_call_profile *p, int64_t now_us, uint64_t callee)
@@ -325,7 +380,9 @@
 	struct snipe_call_profile_callee *c = get_or_add_callee(p, callee);
 
 	p->recent_failed_calls += !is_success;
-	if (c && is_success && cost && cost->count > 0)
+	if (c)
+		c->sample_failed_calls += !is_success;
+	if (c && cost && cost->count > 0)
 		snipe_chain_cost_average(&c->cost, cost, ANSWER_WEIGHT);
 }
 
@@ -333,14 +390,17 @@
 			    uint64_t service, struct snipe_chain_cost *cost)
 {
 	int i = find_route(p, route);
+	const struct snipe_call_sums *s = i < 0 ? NULL : route_sums(p, i);
 	const struct snipe_call_profile_route *r;
 
 	memset(cost, 0, sizeof(*cost));
-	if (i < 0 || p->routes[i].run_us <= 0 || p->routes[i].runs < MIN_RUNS ||
-	    p->samples < MIN_SAMPLES)
+	if (!s)
 		return SNIPE_ERR_NOT_FOUND;
 	r = &p->routes[i];
-	insert_cost(cost, service, r->run_us);
+	if (r->run_us <= 0 && r->failed_run_us <= 0)
+		return SNIPE_ERR_NOT_FOUND;
+	insert_cost(cost, service, r->run_us > 0 ? r->run_us : r->failed_run_us);
+	cost->is_rough = s == &p->truncated || r->run_us <= 0;
 	for (int j = 0; j < p->callee_count; j++)
 		snipe_chain_cost_add(cost, &p->callees[j].cost, r->calls[j]);
 	return 0;
--- a/libs/core/call_profile.h
+++ b/libs/core/call_profile.h
@@ -9,7 +9,11 @@
  *
  * Load pattern: a service deep in the call graph is short of capacity, and the entries must
  * know which client requests need it, and how much of it, before they admit them. A failed call
- * ends the chain of its parent early, so times in which many calls fail teach nothing.
+ * ends the chain of its parent early, so while many calls fail, requests make fewer calls than
+ * they need. How many they need then follows from the parts of the calls and of the runs that
+ * fail; if hardly any run succeeds, the result is too low. Such a rough cost is used until
+ * there is one from other times: a node that starts in a shortage has no better one, and
+ * without any it would admit all requests, and the calls would never cease to fail.
  */
 #ifndef SNIPE_CALL_PROFILE_H
 #define SNIPE_CALL_PROFILE_H
@@ -31,6 +35,7 @@
 struct snipe_chain_cost {
 	struct snipe_service_cost services[SNIPE_CHAIN_MAX_SERVICES];
 	int count;
+	int is_rough; /* learned while many calls failed */
 };
 
 /* Adds a cost, scaled by a factor, to a sum. */
@@ -38,7 +43,9 @@
 			  double factor);
 /* Returns the slot time at a service in microseconds, 0 if it is not needed. */
 double snipe_chain_cost_at(const struct snipe_chain_cost *cost, uint64_t service);
-/* Moves a mean towards a sample; weight is that of the sample. An empty mean takes it over. */
+/* Moves a mean towards a sample; weight is that of the sample. An empty mean takes the sample
+ * over, and so does a rough one if the sample is not rough. A rough sample does not change
+ * other means. */
 void snipe_chain_cost_average(struct snipe_chain_cost *mean,
 			      const struct snipe_chain_cost *sample, double weight);
 
@@ -48,35 +55,42 @@
 
 /* A route that runs at this node. Fields are private. */
 struct snipe_call_profile_route {
-	uint64_t route; /* hash of its name */
-	double run_us;	/* mean time of a run; 0: none ended yet */
-	double sample_runs;
-	/* Decaying sums over samples: runs, and their products with those of all routes and
-	 * with the calls. */
-	double runs;
-	double products[SNIPE_CALL_PROFILE_ROUTES];
-	double call_products[SNIPE_CALL_PROFILE_CALLEES];
+	uint64_t route;	      /* hash of its name */
+	double run_us;	      /* mean time of a run that succeeded; 0: none yet */
+	double failed_run_us; /* mean time of a run that failed; 0: none yet */
+	double sample_runs, sample_failed_runs;
 	double calls[SNIPE_CALL_PROFILE_CALLEES]; /* estimate for each request */
 };
 
 /* A route that the backend server of this node calls. Fields are private. */
 struct snipe_call_profile_callee {
 	uint64_t route; /* hash of its name */
-	double sample_calls;
-	double squares;		      /* of the calls, decaying sum over samples */
+	double sample_calls, sample_failed_calls;
 	struct snipe_chain_cost cost; /* mean of the answers; empty: unknown */
 };
 
+/* Decaying sums over samples, by index of routes and callees. Fields are private. */
+struct snipe_call_sums {
+	double samples;
+	double runs[SNIPE_CALL_PROFILE_ROUTES], failed_runs[SNIPE_CALL_PROFILE_ROUTES];
+	double calls[SNIPE_CALL_PROFILE_CALLEES], failed_calls[SNIPE_CALL_PROFILE_CALLEES];
+	double products[SNIPE_CALL_PROFILE_ROUTES][SNIPE_CALL_PROFILE_ROUTES]; /* of runs */
+	/* Of runs and calls. */
+	double call_products[SNIPE_CALL_PROFILE_ROUTES][SNIPE_CALL_PROFILE_CALLEES];
+	double squares[SNIPE_CALL_PROFILE_CALLEES]; /* of calls */
+};
+
 /* Fields are private. */
 struct snipe_call_profile {
 	struct snipe_call_profile_route routes[SNIPE_CALL_PROFILE_ROUTES];
 	int route_count;
 	struct snipe_call_profile_callee callees[SNIPE_CALL_PROFILE_CALLEES];
 	int callee_count;
-	double samples; /* decaying number */
+	struct snipe_call_sums complete;  /* of times in which calls succeeded */
+	struct snipe_call_sums truncated; /* of times in which many failed */
 	int64_t sample_start_us;
-	double recent_calls, recent_failed_calls; /* decaying sums */
-	uint64_t samples_used, samples_dropped;	  /* since the start; dropped: calls failed */
+	double recent_calls, recent_failed_calls;     /* decaying sums */
+	uint64_t complete_samples, truncated_samples; /* since the start */
 };
 
 void snipe_call_profile_init(struct snipe_call_profile *p, int64_t now_us);
@@ -88,7 +102,8 @@
 			    int64_t run_us, int is_success);
 /* The backend server made a call on a route. */
 void snipe_call_profile_call(struct snipe_call_profile *p, int64_t now_us, uint64_t callee);
-/* A call of the backend server ended. cost is what its answer stated, NULL if nothing. */
+/* A call of the backend server ended. cost is what its answer stated, which holds for all calls
+ * on its route, or NULL. */
 void snipe_call_profile_answer(struct snipe_call_profile *p, uint64_t callee, int is_success,
 			       const struct snipe_chain_cost *cost);
 
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -379,7 +379,8 @@
 	complete(call, answer, body, body_len);
 }
 
-/* Learns from an answer what a request of the route costs over its call chain. */
+/* Learns from an answer what a request of the route costs over its call chain. Answers to
+ * failed calls state it as well: while a service is short, there may be no others. */
 static void record_chain_cost(struct snipe_entry_call *call,
 			      const struct snipe_msg_answer *answer)
 {
@@ -389,7 +390,7 @@
 		snipe_call_profile_answer(call->entry->config.profile,
 					  snipe_hash64_str(call->route->name), is_success,
 					  &answer->cost);
-	else if (is_success && answer->cost.count > 0)
+	else if (answer->cost.count > 0)
 		snipe_chain_cost_average(&call->entry_route->cost, &answer->cost,
 					 SNIPE_ENTRY_COST_WEIGHT);
 }
--- a/libs/wire/message.c
+++ b/libs/wire/message.c
@@ -180,13 +180,14 @@
 		msgpack_pack_uint64(pk, a->cost.services[i].service);
 		msgpack_pack_uint64(pk, (uint64_t)a->cost.services[i].slot_us);
 	}
+	msgpack_pack_int(pk, a->cost.is_rough);
 }
 
 static void read_cost(struct snipe_reader *r, struct snipe_chain_cost *cost)
 {
 	struct snipe_reader list;
 
-	cost->count = 0;
+	cost->count = cost->is_rough = 0;
 	if (r->has_error || r->next >= r->array->size)
 		return;
 	list = snipe_read_array(r);
@@ -201,6 +202,8 @@
 		cost->services[i].slot_us = (double)snipe_read_uint(&list);
 	}
 	r->has_error |= list.has_error;
+	if (!r->has_error && r->next < r->array->size)
+		cost->is_rough = snipe_read_int_range(r, 0, 1);
 }
 
 static void read_answer(struct snipe_reader *r, struct snipe_msg_answer *a)
@@ -347,7 +350,7 @@
 {
 	static const int counts[SNIPE_MSG_TYPE_COUNT] = {
 		[SNIPE_MSG_HELLO] = 11,	       [SNIPE_MSG_CALL] = 21,
-		[SNIPE_MSG_BODY] = 1,	       [SNIPE_MSG_ANSWER] = 15,
+		[SNIPE_MSG_BODY] = 1,	       [SNIPE_MSG_ANSWER] = 16,
 		[SNIPE_MSG_RETRY_ASK] = 1,     [SNIPE_MSG_RETRY_ANSWER] = 1,
 		[SNIPE_MSG_QUOTA_ASK] = 3,     [SNIPE_MSG_QUOTA_GRANT] = 5,
 		[SNIPE_MSG_QUOTA_RETURN] = 3,  [SNIPE_MSG_DEDUP_CLAIM] = 3,
--- a/libs/wire/message.h
+++ b/libs/wire/message.h
@@ -130,7 +130,8 @@
 	int has_arrived; /* the backend server received the request; it may not have run it */
 	int64_t service_us;	      /* mean time that a request runs on this backend server */
 	struct snipe_chain_cost cost; /* of such a request over its call chain; empty: not
-					 stated. Missing in the answers of earlier builds */
+					 stated. Missing in the answers of earlier builds,
+					 is_rough also in those of later ones */
 	struct snipe_header headers[SNIPE_MAX_HEADERS];
 	int header_count;
 	uint64_t body_len;
--- a/tests/core/call_profile_test.cc
+++ b/tests/core/call_profile_test.cc
@@ -34,7 +34,9 @@
 	};
 	std::priority_queue<Event> events;
 	bool calls_fail = false;
-	double failing_part = 0; // part of the calls that fail, and end their run
+	double failing_part = 0;    // part of the calls that fail, and end their run
+	double failing_runs = 0;    // part of the runs that fail although their calls succeed
+	bool calls_at_once = false; // all calls are made, also if one fails
 
 	Server()
 	{
@@ -42,7 +44,7 @@
 	}
 	void handle(const Event &e)
 	{
-		struct snipe_chain_cost cost = {{{DEEP, 20000.0}}, 1};
+		struct snipe_chain_cost cost = {{{DEEP, 20000.0}}, 1, 0};
 
 		bool fails = calls_fail || e.fails;
 
@@ -57,18 +59,20 @@
 	{
 		int64_t run = std::uniform_int_distribution<int64_t>(60000, 180000)(rng);
 		int64_t step = run / (calls + 2);
+		bool any_fails = false;
 
 		snipe_call_profile_start(&profile, now, route);
 		for (int i = 0; i < calls; i++) {
 			bool fails = std::uniform_real_distribution<>()(rng) < failing_part;
 			events.push({now + step * (i + 1), 0, callee, 0, fails});
-			if (fails) {
+			any_fails |= fails;
+			if (fails && !calls_at_once) {
 				run = step * (i + 1);
-				events.push({now + run, 1, route, run, true});
-				return;
+				break;
 			}
 		}
-		events.push({now + run, 1, route, run});
+		any_fails |= std::uniform_real_distribution<>()(rng) < failing_runs;
+		events.push({now + run, 1, route, run, any_fails});
 	}
 	struct Load {
 		uint64_t route;
@@ -90,6 +94,12 @@
 					start(l.route, l.callee, l.calls);
 		}
 	}
+	bool is_rough(uint64_t route)
+	{
+		struct snipe_chain_cost c;
+
+		return snipe_call_profile_cost(&profile, route, OWN, &c) == 0 && c.is_rough;
+	}
 	// Slot time that a request of the route needs at a service, 0 if none.
 	double cost(uint64_t route, uint64_t service)
 	{
@@ -145,20 +155,42 @@
 }
 
 // Guards against a shortage that starts before the first calm second and is never seen.
-TEST(CallProfile, CallsThatFailFromTheStartTeachALowerBound)
+TEST(CallProfile, CallsThatFailFromTheStartTeachARoughCost)
 {
 	Server s;
 
 	s.failing_part = 0.4;
 	s.run(5, {{TIPS, 60, LOOKUP, 4}, {CARDS, 10, 0, 0}});
-	// A chain that loses two calls in five makes (1 - 0.6^4) / 0.4 of them.
-	EXPECT_GE(s.cost(TIPS, DEEP), 0.8 * 2.18 * 20000);
-	EXPECT_LE(s.cost(TIPS, DEEP), 4 * 20000);
+	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 16000);
 	EXPECT_EQ(s.cost(CARDS, DEEP), 0);
+	EXPECT_TRUE(s.is_rough(TIPS));
 	s.failing_part = 0;
 	s.run(10, {{TIPS, 60, LOOKUP, 4}, {CARDS, 10, 0, 0}});
 	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 8000);
 	EXPECT_EQ(s.cost(CARDS, DEEP), 0);
+	EXPECT_FALSE(s.is_rough(TIPS));
+}
+
+TEST(CallProfile, RunsThatFailByThemselvesDoNotRaiseTheRoughCost)
+{
+	Server s;
+
+	s.failing_part = 0.1;
+	s.failing_runs = 0.5;
+	s.run(10, {{TIPS, 60, LOOKUP, 1}});
+	EXPECT_TRUE(s.is_rough(TIPS));
+	EXPECT_NEAR(s.cost(TIPS, DEEP), 20000, 4000);
+}
+
+TEST(CallProfile, CallsAtTheSameTimeDoNotRaiseTheRoughCost)
+{
+	Server s;
+
+	s.failing_part = 0.3;
+	s.calls_at_once = true;
+	s.run(10, {{TIPS, 60, LOOKUP, 4}});
+	EXPECT_TRUE(s.is_rough(TIPS));
+	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 16000);
 }
 
 TEST(CallProfile, FollowsAChangeOfTheCalls)
@@ -195,7 +227,7 @@
 
 TEST(ChainCost, SumsAndKeepsTheLargestServices)
 {
-	struct snipe_chain_cost sum = {}, one = {{{DEEP, 10.0}, {DEEPER, 5.0}}, 2}, big = {};
+	struct snipe_chain_cost sum = {}, one = {{{DEEP, 10.0}, {DEEPER, 5.0}}, 2, 0}, big = {};
 
 	snipe_chain_cost_add(&sum, &one, 2);
 	snipe_chain_cost_add(&sum, &one, 1);
@@ -203,7 +235,7 @@
 	EXPECT_EQ(snipe_chain_cost_at(&sum, DEEPER), 15);
 	EXPECT_EQ(snipe_chain_cost_at(&sum, OWN), 0);
 	for (uint64_t s = 1; s <= SNIPE_CHAIN_MAX_SERVICES; s++) {
-		one = {{{s, 20.0 + s}}, 1};
+		one = {{{s, 20.0 + s}}, 1, 0};
 		snipe_chain_cost_add(&big, &one, 1);
 	}
 	snipe_chain_cost_add(&big, &sum, 1);
@@ -212,9 +244,24 @@
 	EXPECT_EQ(snipe_chain_cost_at(&big, 1), 0);
 }
 
+TEST(ChainCost, ARoughSampleChangesOnlyARoughMean)
+{
+	struct snipe_chain_cost mean = {}, rough = {{{DEEP, 10.0}}, 1, 1},
+				good = {{{DEEP, 20.0}}, 1, 0};
+
+	snipe_chain_cost_average(&mean, &rough, 0.5);
+	EXPECT_EQ(snipe_chain_cost_at(&mean, DEEP), 10);
+	snipe_chain_cost_average(&mean, &good, 0.5);
+	EXPECT_EQ(snipe_chain_cost_at(&mean, DEEP), 20);
+	snipe_chain_cost_average(&mean, &rough, 0.5);
+	EXPECT_EQ(snipe_chain_cost_at(&mean, DEEP), 20);
+	EXPECT_FALSE(mean.is_rough);
+}
+
 TEST(ChainCost, AMeanMovesTowardsEachSample)
 {
-	struct snipe_chain_cost mean = {}, one = {{{DEEP, 10.0}}, 1}, two = {{{DEEP, 20.0}}, 1};
+	struct snipe_chain_cost mean = {}, one = {{{DEEP, 10.0}}, 1, 0},
+				two = {{{DEEP, 20.0}}, 1, 0};
 
 	snipe_chain_cost_average(&mean, &one, 0.5);
 	EXPECT_EQ(snipe_chain_cost_at(&mean, DEEP), 10);
--- a/tests/wire/message_test.cc
+++ b/tests/wire/message_test.cc
@@ -90,33 +90,37 @@
 	struct snipe_decoded d;
 
 	m.type = SNIPE_MSG_ANSWER;
-	m.u.answer.cost = {{{UINT64_MAX, 250000.0}, {3, 1.0}}, 2};
+	m.u.answer.cost = {{{UINT64_MAX, 250000.0}, {3, 1.0}}, 2, 1};
 	Encoded e(m);
 	ASSERT_EQ(snipe_message_decode(e.payload(), e.payload_len(), &d), 0);
 	ASSERT_EQ(d.message.u.answer.cost.count, 2);
 	EXPECT_EQ(d.message.u.answer.cost.services[0].service, UINT64_MAX);
 	EXPECT_EQ(d.message.u.answer.cost.services[0].slot_us, 250000.0);
 	EXPECT_EQ(d.message.u.answer.cost.services[1].service, 3u);
+	EXPECT_TRUE(d.message.u.answer.cost.is_rough);
 	snipe_decoded_finish(&d);
 }
 
-// During an update of a fleet, answers of the build before have one field less.
-TEST(Message, AnswersOfTheBuildBeforeAreAccepted)
+// During an update of a fleet, answers of earlier builds lack the last one or two fields.
+TEST(Message, AnswersOfEarlierBuildsAreAccepted)
 {
-	struct snipe_message m = {};
-	struct snipe_decoded d;
+	for (int missing : {1, 2}) {
+		struct snipe_message m = {};
+		struct snipe_decoded d;
 
-	m.type = SNIPE_MSG_ANSWER;
-	m.u.answer.status = 200;
-	Encoded e(m);
-	/* The array header is 0xdc and two bytes of length; the last field is an empty array.
-	 */
-	ASSERT_EQ((uint8_t)e.buf.data[SNIPE_FRAME_HEADER_BYTES], 0xdc);
-	e.buf.data[SNIPE_FRAME_HEADER_BYTES + 2]--;
-	ASSERT_EQ(snipe_message_decode(e.payload(), e.payload_len() - 1, &d), 0);
-	EXPECT_EQ(d.message.u.answer.status, 200);
-	EXPECT_EQ(d.message.u.answer.cost.count, 0);
-	snipe_decoded_finish(&d);
+		m.type = SNIPE_MSG_ANSWER;
+		m.u.answer.status = 200;
+		Encoded e(m);
+		// The array header is 0xdc and two bytes of length; the last fields are an
+		// empty array and a zero.
+		ASSERT_EQ((uint8_t)e.buf.data[SNIPE_FRAME_HEADER_BYTES], 0xdc);
+		e.buf.data[SNIPE_FRAME_HEADER_BYTES + 2] -= missing;
+		ASSERT_EQ(snipe_message_decode(e.payload(), e.payload_len() - missing, &d), 0);
+		EXPECT_EQ(d.message.u.answer.status, 200);
+		EXPECT_EQ(d.message.u.answer.cost.count, 0);
+		EXPECT_FALSE(d.message.u.answer.cost.is_rough);
+		snipe_decoded_finish(&d);
+	}
 }
 
 TEST(Message, EveryTruncationIsRejected)
