cost log: keep what requests need in the store

Callers saw most requests fail for five seconds after a restart of all nodes in a shortage, and as long after restarts one after the other: a new process must first learn the costs, at several levels of services.

core/route_costs holds the costs of an entry and prints and loads them; gateway/cost_log keeps them in one object of the store. The node of rank 0 writes when a cost has changed by more than a quarter, at most every 5 s. Each node reads the object once at its start: one call to the store more.

--- a/libs/gateway/dialect.h
+++ b/libs/gateway/dialect.h
@@ -61,6 +61,7 @@
 	const char *nodes_kind;		       /* one object per node: its address */
 	const char *departures_kind;	       /* one per node: its server's last departure */
 	const char *suspects_kind;	       /* one object: the requests that crash servers */
+	const char *costs_kind;		       /* one object: what requests cost */
 	const char *announcement_reply;	       /* body of the response to an announcement */
 };
 
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -41,6 +41,7 @@
 	/* Random, so that the entries do not all reject their first request. */
 	s->chain_credit = g_rand_double(e->rng);
 	snipe_entry_limit_init(&s->limit, snipe_now_us());
+	s->cost = snipe_route_costs_handle(e->config.costs, snipe_hash64_str(name));
 	g_hash_table_insert(e->routes, g_strdup(name), s);
 	return s;
 }
@@ -184,9 +185,9 @@
 	struct snipe_entry *e = call->entry;
 	struct snipe_entry_route *route = call->entry_route;
 
-	call->chain_share = snipe_chain_limit_offer(&e->chain_limit, call->received_us,
-						    snipe_entry_call_rank(call), &route->cost,
-						    &call->bottleneck);
+	call->chain_share = snipe_chain_limit_offer(
+		&e->chain_limit, call->received_us, snipe_entry_call_rank(call),
+		snipe_entry_call_cost(call), &call->bottleneck);
 	if (call->chain_share >= 1)
 		return 1;
 	route->chain_credit += call->chain_share;
@@ -460,7 +461,8 @@
 			"%s\"%s\":{\"limit\":%.1f,\"in_flight\":%d,\"latency_us\":%.0f,"
 			"\"unloaded_us\":%.0f,\"chain_services\":%d}",
 			n++ ? "," : "", (const char *)name, s->limit.limit, s->limit.in_flight,
-			s->limit.latency_us, s->limit.unloaded_latency_us, s->cost.count);
+			s->limit.latency_us, s->limit.unloaded_latency_us,
+			snipe_route_costs_at(e->config.costs, s->cost, 0)->count);
 	}
 	snipe_buffer_printf(out, "}}");
 }
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -14,6 +14,7 @@
 #include "config/routing.h"
 #include "core/call_profile.h"
 #include "core/chain_limit.h"
+#include "core/route_costs.h"
 #include "core/crash_guard.h"
 #include "core/entry_limit.h"
 #include "core/fleet_quota.h"
@@ -37,6 +38,7 @@
 	struct snipe_directory *directory;
 	struct snipe_crash_guard *guard;
 	struct snipe_call_profile *profile;
+	struct snipe_route_costs *costs;
 	struct snipe_counters *counters;
 	const struct snipe_loop_lag *lag; /* of the event loop */
 };
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -75,6 +75,16 @@
 	g_free(call);
 }
 
+const struct snipe_chain_cost *snipe_entry_call_cost(const struct snipe_entry_call *call)
+{
+	static const struct snipe_chain_cost unknown;
+
+	if (!call->entry_route || !call->service)
+		return &unknown;
+	return snipe_route_costs_at(call->entry->config.costs, call->entry_route->cost,
+				    snipe_hash64_str(call->service));
+}
+
 void snipe_entry_call_log(const struct snipe_entry_call *call, const char *event, int status,
 			  const char *reason, int64_t retry_after_us)
 {
@@ -106,12 +116,9 @@
 		  (unsigned long long)(call->routing ? call->routing->version : 0),
 		  (long long)(e->confirmed_us ? (now - e->confirmed_us) / 1000 : -1),
 		  call->entry_route ? call->entry_route->limit.limit : 0.0,
-		  call->entry_route ? call->entry_route->cost.count : 0, call->chain_share,
+		  snipe_entry_call_cost(call)->count, call->chain_share,
 		  snipe_directory_service_name(e->config.directory, call->bottleneck),
-		  call->entry_route
-			  ? snipe_chain_cost_at(&call->entry_route->cost, call->bottleneck) /
-				    1000
-			  : 0.0,
+		  snipe_chain_cost_at(snipe_entry_call_cost(call), call->bottleneck) / 1000,
 		  e->in_flight, suppressed);
 }
 
@@ -391,8 +398,8 @@
 					  snipe_hash64_str(call->route->name), is_success,
 					  &answer->cost);
 	else if (answer->cost.count > 0)
-		snipe_chain_cost_average(&call->entry_route->cost, &answer->cost,
-					 SNIPE_ENTRY_COST_WEIGHT);
+		snipe_route_costs_learn(call->entry->config.costs, call->entry_route->cost,
+					snipe_wall_ms(), &answer->cost);
 }
 
 static void handle_answer(struct snipe_entry_attempt *a, int err,
--- a/libs/gateway/entry_state.h
+++ b/libs/gateway/entry_state.h
@@ -15,17 +15,15 @@
 
 /* Why a request was rejected: a service that its call chain needs is short. */
 #define SNIPE_ENTRY_CHAIN_OVERLOADED "chain_overloaded"
-/* Weight of one answer in the mean cost of a route. */
-#define SNIPE_ENTRY_COST_WEIGHT 0.3
 /* Most attempts of one request, including those that a gate rejected. */
 #define SNIPE_ENTRY_MAX_ATTEMPTS 4
 
 struct snipe_entry_route {
 	struct snipe_entry_limit limit;
-	struct snipe_chain_cost cost; /* of a request over its call chain; empty: unknown */
-	double chain_credit;	      /* accumulated parts of a request that may be admitted */
-	double mean_attempt_us;	      /* of the attempts that were answered; 0: none yet */
-	int *current_weights;	      /* of the targets, for smooth weighted round robin */
+	int cost;		/* handle of its cost */
+	double chain_credit;	/* accumulated parts of a request that may be admitted */
+	double mean_attempt_us; /* of the attempts that were answered; 0: none yet */
+	int *current_weights;	/* of the targets, for smooth weighted round robin */
 	int current_weight_count;
 	char targets[256]; /* services that current_weights belongs to */
 };
@@ -91,6 +89,8 @@
  * workspace and deadline are set, and a rate token is taken if its workspace needs one. */
 struct snipe_entry_error snipe_entry_call_check(struct snipe_entry_call *call);
 
+/* entry_call.c: what a request costs along its call chain; empty: unknown. */
+const struct snipe_chain_cost *snipe_entry_call_cost(const struct snipe_entry_call *call);
 /* entry_message.c: the rank of the call in a gate's queue; 0 is served first. */
 int snipe_entry_call_rank(const struct snipe_entry_call *call);
 /* entry_message.c: fills the message that carries the call to a gate; its strings point into
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -7,8 +7,10 @@
 
 #include "base/clock.h"
 #include "base/counters.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "core/loop_lag.h"
+#include "gateway/cost_log.h"
 #include "gateway/crash_log.h"
 #include "gateway/departure_exchange.h"
 #include "gateway/departure_log.h"
@@ -63,6 +65,7 @@
 	struct snipe_counters counters;
 	struct snipe_crash_guard guard;
 	struct snipe_call_profile profile;
+	struct snipe_route_costs costs;
 	struct snipe_peer_task peers;
 	int has_peers;
 	struct snipe_directory directory;
@@ -73,6 +76,7 @@
 	struct snipe_departure_log departures;
 	struct snipe_departure_exchange exchange;
 	struct snipe_suspect_log suspects;
+	struct snipe_cost_log cost_log;
 	GPtrArray *pending_announcements; /* of departures that a kill could still undo */
 	struct snipe_h1_server ready, admin, metrics;
 	struct event *sigterm, *sigint, *sighup, *tick;
@@ -676,6 +680,11 @@
 	g->was_ready = ready;
 	snipe_counters_set(&g->counters, g->entry.gauge_in_flight, g->entry.in_flight);
 	snipe_suspect_log_update(&g->suspects);
+	if (snipe_cost_log_is_due(&g->cost_log, now))
+		snipe_cost_log_update(
+			&g->cost_log, now,
+			snipe_directory_rank(&g->directory,
+					     snipe_hash64_str(SNIPE_COST_LOG_NAME)));
 	snipe_entry_update_chain_limit(&g->entry);
 	if (g->stop_us)
 		continue_stop(g, now);
@@ -747,6 +756,7 @@
 		.directory = &g->directory,
 		.guard = &g->guard,
 		.profile = &g->profile,
+		.costs = &g->costs,
 		.counters = &g->counters,
 		.lag = &g->lag,
 	};
@@ -822,8 +832,22 @@
 	snipe_suspect_log_init(&g->suspects, &g->guard, &config);
 }
 
+static void init_cost_log(struct gateway *g)
+{
+	struct snipe_kept_object_config config = {
+		.base = g->base,
+		.store = g->store,
+		.kind = g->host->dialect->costs_kind,
+		.name = SNIPE_COST_LOG_NAME,
+		.is_first_start = g->settings.is_first_start,
+	};
+
+	snipe_cost_log_init(&g->cost_log, &g->costs, &config);
+}
+
 static void finish(struct gateway *g)
 {
+	snipe_cost_log_finish(&g->cost_log);
 	snipe_suspect_log_finish(&g->suspects);
 	snipe_departure_log_finish(&g->departures);
 	snipe_departure_exchange_finish(&g->exchange);
@@ -839,6 +863,7 @@
 	if (g->has_peers)
 		snipe_peer_task_finish(&g->peers);
 	snipe_routing_unref(g->routing);
+	snipe_route_costs_finish(&g->costs);
 }
 
 static struct event *add_signal(struct gateway *g, int sig, event_callback_fn cb)
@@ -883,6 +908,7 @@
 	g->busy_logs = snipe_counters_get(&g->counters, "busy_us_total", "work=\"log\"");
 	snipe_crash_guard_init(&g->guard);
 	snipe_call_profile_init(&g->profile, snipe_now_us());
+	snipe_route_costs_init(&g->costs);
 	g->settings_revision = host->settings_revision(host->arg);
 	ret = init_peers(g, process, err);
 	if (ret == 0)
@@ -901,6 +927,7 @@
 		init_departures(g);
 		init_exchange(g, process);
 		init_suspects(g);
+		init_cost_log(g);
 		run_loop(g);
 		snipe_log(SNIPE_LOG_INFO, "stopped", "node=%s requests=%d gate_calls=%d",
 			  settings->node_id, snipe_entry_in_flight(&g->entry),
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -42,6 +42,7 @@
 	struct snipe_counters counters;
 	struct snipe_crash_guard guard;
 	struct snipe_call_profile profile;
+	struct snipe_route_costs costs;
 	struct snipe_entry entry;
 	struct snipe_routing *routing = nullptr;
 	std::vector<ReceivedCall> calls;
@@ -101,6 +102,7 @@
 		snipe_counters_init(&counters);
 		snipe_crash_guard_init(&guard);
 		snipe_call_profile_init(&profile, snipe_now_us());
+		snipe_route_costs_init(&costs);
 		init_peer(&own, loop.base, "own");
 		strcpy(settings.node_id, "own");
 		strcpy(settings.service, "home");
@@ -127,6 +129,7 @@
 		config.directory = &directory;
 		config.guard = &guard;
 		config.profile = &profile;
+		config.costs = &costs;
 		config.counters = &counters;
 		snipe_loop_lag_init(&lag);
 		config.lag = &lag;
@@ -135,6 +138,7 @@
 	void TearDown() override
 	{
 		snipe_entry_finish(&entry);
+		snipe_route_costs_finish(&costs);
 		for (int i = 0; i < 2; i++) {
 			snipe_peer_task_finish(&servers[i]);
 			close(report_sockets[i]);
--- a/tests/support/gateway.h
+++ b/tests/support/gateway.h
@@ -19,6 +19,7 @@
 	"nodes",
 	"departures",
 	"suspects",
+	"costs",
 	"{}",
 };
 
