call profile: a rough cost replaces one that is far too low

Two ways led there: no answer had yet stated the cost of the calls that the route makes, or the calls could not be told apart in the first samples. The first makes a cost rough now (rare calls, such as requests of clients that need no key, do not count). For the second, and for kept costs that a change of the servers' code made wrong, a rough cost that is over twice the other one at a service replaces it. The estimates of both kinds of times are kept side by side.

--- a/libs/core/call_profile.c
+++ b/libs/core/call_profile.c
@@ -25,6 +25,12 @@
 #define MAX_TOLD_FAILED_RATIO 0.95
 /* A route makes calls only if its estimate is above this many standard errors. */
 #define MIN_STANDARD_ERRORS 3.0
+/* Calls for each request that a cost must include: requests of clients without a key look like
+ * rare calls. */
+#define MIN_CALLS 0.1
+/* A cost exceeds another one by this factor, at a service that takes this part of it. */
+#define EXCESS_FACTOR 2.0
+#define MIN_PART 0.1
 /* Weight of one run in the mean run time, and of one answer in the mean cost of a call. */
 #define RUN_WEIGHT 0.05
 #define ANSWER_WEIGHT 0.2
@@ -67,12 +73,30 @@
 	return 0;
 }
 
+int snipe_chain_cost_exceeds(const struct snipe_chain_cost *cost,
+			     const struct snipe_chain_cost *other)
+{
+	double sum = 0;
+
+	for (int i = 0; i < cost->count; i++)
+		sum += cost->services[i].slot_us;
+	for (int i = 0; i < cost->count; i++) {
+		const struct snipe_service_cost *s = &cost->services[i];
+
+		if (s->slot_us >= MIN_PART * sum &&
+		    s->slot_us > EXCESS_FACTOR * snipe_chain_cost_at(other, s->service))
+			return 1;
+	}
+	return 0;
+}
+
 void snipe_chain_cost_average(struct snipe_chain_cost *mean,
 			      const struct snipe_chain_cost *sample, double weight)
 {
 	struct snipe_chain_cost next = {.count = 0};
 
-	if (mean->count > 0 && sample->is_rough && !mean->is_rough)
+	if (mean->count > 0 && sample->is_rough && !mean->is_rough &&
+	    !snipe_chain_cost_exceeds(sample, mean))
 		return;
 	if (mean->count > 0 && sample->is_rough == mean->is_rough) {
 		snipe_chain_cost_add(&next, mean, 1 - weight);
@@ -169,15 +193,14 @@
 	}
 }
 
-/* Returns the sums that tell about a route, NULL while none do. */
-static const struct snipe_call_sums *route_sums(const struct snipe_call_profile *p, int route)
+/* Whether the samples of one kind of times tell about a route. */
+static int is_known(const struct snipe_call_profile *p, enum snipe_call_times times, int route)
 {
-	if (p->complete.samples >= MIN_SAMPLES && p->complete.runs[route] >= MIN_RUNS)
-		return &p->complete;
-	if (p->truncated.samples >= MIN_TRUNCATED_SAMPLES &&
-	    p->truncated.runs[route] >= MIN_RUNS)
-		return &p->truncated;
-	return NULL;
+	const struct snipe_call_sums *s = &p->sums[times];
+
+	return s->samples >=
+		       (times == SNIPE_CALLS_FAIL ? MIN_TRUNCATED_SAMPLES : MIN_SAMPLES) &&
+	       s->runs[route] >= MIN_RUNS;
 }
 
 /* Least squares over some of the routes. */
@@ -246,12 +269,12 @@
 		e->standard_error[i] = sqrt(variance * inverse[i][i]);
 }
 
-/* Estimates the calls to a callee that a request of each route makes, for the routes of which
- * these sums tell. The route whose estimate is the least certain is left out until all are
- * certain, or one is left. */
-static void estimate_calls(struct snipe_call_profile *p, const struct snipe_call_sums *s,
+/* Estimates the calls to a callee that a request of each route makes. The route whose estimate
+ * is the least certain is left out until all are certain, or one is left. */
+static void estimate_calls(struct snipe_call_profile *p, enum snipe_call_times times,
 			   int callee)
 {
+	const struct snipe_call_sums *s = &p->sums[times];
 	struct estimate e = {.count = 0};
 
 	for (int i = 0; i < p->route_count; i++)
@@ -276,53 +299,52 @@
 			(size_t)(e.count - least) * sizeof(e.routes[0]));
 	}
 	for (int i = 0; i < p->route_count; i++)
-		if (route_sums(p, i) == s)
-			p->routes[i].calls[callee] = 0;
+		p->routes[i].calls[times][callee] = 0;
 	for (int i = 0; i < e.count; i++)
-		if (route_sums(p, e.routes[i]) == s)
-			p->routes[e.routes[i]].calls[callee] = MAX(e.calls[i], 0);
+		p->routes[e.routes[i]].calls[times][callee] = MAX(e.calls[i], 0);
 }
 
 /* Lengthens the chains of a route, estimated while calls failed, to what they would be if none
  * did. If a run fails with its first failed call, and calls succeed independently with chance
  * q, a run that needs n calls succeeds with chance q^n; n follows from both chances. A run that
  * failed for another reason does not count: there are no more such runs than failed calls. */
-static void extend_chains(struct snipe_call_profile *p, const struct snipe_call_sums *s,
-			  int route)
+static void extend_chains(struct snipe_call_profile *p, int route)
 {
-	struct snipe_call_profile_route *r = &p->routes[route];
+	const struct snipe_call_sums *s = &p->sums[SNIPE_CALLS_FAIL];
+	double *calls = p->routes[route].calls[SNIPE_CALLS_FAIL];
 	double failed_calls = 0, log_success = 0, failed, factor;
 
 	for (int j = 0; j < p->callee_count; j++) {
 		double ratio = (s->failed_calls[j] + 0.5) / (s->calls[j] + 1);
 
-		failed_calls += r->calls[j] * ratio;
-		log_success += r->calls[j] * log(1 - MIN(ratio, MAX_TOLD_FAILED_RATIO));
+		failed_calls += calls[j] * ratio;
+		log_success += calls[j] * log(1 - MIN(ratio, MAX_TOLD_FAILED_RATIO));
 	}
 	if (log_success >= 0)
 		return;
 	failed = MIN(s->failed_runs[route] / s->runs[route], failed_calls);
 	factor = log(MAX(1 - failed, 0.5 / s->runs[route])) / log_success;
 	for (int j = 0; j < p->callee_count; j++)
-		r->calls[j] *= MAX(factor, 1);
+		calls[j] *= MAX(factor, 1);
 }
 
 static void end_sample(struct snipe_call_profile *p, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - p->sample_start_us);
 	double failed_factor = exp(-elapsed_us / FAILED_TIME_US);
-	int is_truncated = p->recent_failed_calls > MAX_FAILED_RATIO * p->recent_calls;
-	struct snipe_call_sums *s = is_truncated ? &p->truncated : &p->complete;
+	int is_failing = p->recent_failed_calls > MAX_FAILED_RATIO * p->recent_calls;
+	enum snipe_call_times times = is_failing ? SNIPE_CALLS_FAIL : SNIPE_CALLS_SUCCEED;
+	struct snipe_call_sums *s = &p->sums[times];
 
-	decay_sums(p, s, exp(-elapsed_us / (is_truncated ? TRUNCATED_MEMORY_US : MEMORY_US)));
+	p->times = times;
+	p->samples[times]++;
+	decay_sums(p, s, exp(-elapsed_us / (is_failing ? TRUNCATED_MEMORY_US : MEMORY_US)));
 	add_sample(p, s);
 	for (int j = 0; j < p->callee_count; j++)
-		estimate_calls(p, s, j);
-	for (int i = 0; is_truncated && i < p->route_count; i++)
-		if (route_sums(p, i) == s)
-			extend_chains(p, s, i);
-	p->truncated_samples += (uint64_t)is_truncated;
-	p->complete_samples += (uint64_t)!is_truncated;
+		estimate_calls(p, times, j);
+	for (int i = 0; is_failing && i < p->route_count; i++)
+		if (is_known(p, times, i))
+			extend_chains(p, i);
 	p->recent_calls *= failed_factor;
 	p->recent_failed_calls *= failed_factor;
 	for (int i = 0; i < p->route_count; i++)
@@ -386,22 +408,45 @@
 		snipe_chain_cost_average(&c->cost, cost, ANSWER_WEIGHT);
 }
 
+/* Whether the route makes calls of which no answer has stated the cost. */
+static int has_unknown_call(const struct snipe_call_profile *p, const double *calls)
+{
+	for (int j = 0; j < p->callee_count; j++)
+		if (calls[j] >= MIN_CALLS && p->callees[j].cost.count == 0)
+			return 1;
+	return 0;
+}
+
+/* Fills the cost as the samples of one kind of times tell it, empty if they do not. */
+static void fill_cost(const struct snipe_call_profile *p, enum snipe_call_times times,
+		      int route, uint64_t service, struct snipe_chain_cost *cost)
+{
+	const struct snipe_call_profile_route *r = &p->routes[route];
+	const double *calls = r->calls[times];
+
+	memset(cost, 0, sizeof(*cost));
+	if (!is_known(p, times, route) || (r->run_us <= 0 && r->failed_run_us <= 0))
+		return;
+	insert_cost(cost, service, r->run_us > 0 ? r->run_us : r->failed_run_us);
+	cost->is_rough =
+		times == SNIPE_CALLS_FAIL || r->run_us <= 0 || has_unknown_call(p, calls);
+	for (int j = 0; j < p->callee_count; j++)
+		snipe_chain_cost_add(cost, &p->callees[j].cost, calls[j]);
+}
+
 int snipe_call_profile_cost(const struct snipe_call_profile *p, uint64_t route,
 			    uint64_t service, struct snipe_chain_cost *cost)
 {
+	struct snipe_chain_cost rough;
 	int i = find_route(p, route);
-	const struct snipe_call_sums *s = i < 0 ? NULL : route_sums(p, i);
-	const struct snipe_call_profile_route *r;
 
 	memset(cost, 0, sizeof(*cost));
-	if (!s)
-		return SNIPE_ERR_NOT_FOUND;
-	r = &p->routes[i];
-	if (r->run_us <= 0 && r->failed_run_us <= 0)
+	if (i < 0)
 		return SNIPE_ERR_NOT_FOUND;
-	insert_cost(cost, service, r->run_us > 0 ? r->run_us : r->failed_run_us);
-	cost->is_rough = s == &p->truncated || r->run_us <= 0;
-	for (int j = 0; j < p->callee_count; j++)
-		snipe_chain_cost_add(cost, &p->callees[j].cost, r->calls[j]);
-	return 0;
+	fill_cost(p, SNIPE_CALLS_SUCCEED, i, service, cost);
+	fill_cost(p, SNIPE_CALLS_FAIL, i, service, &rough);
+	if (cost->count == 0 ||
+	    (p->times == SNIPE_CALLS_FAIL && snipe_chain_cost_exceeds(&rough, cost)))
+		*cost = rough;
+	return cost->count > 0 ? 0 : SNIPE_ERR_NOT_FOUND;
 }
--- a/libs/core/call_profile.h
+++ b/libs/core/call_profile.h
@@ -35,7 +35,7 @@
 struct snipe_chain_cost {
 	struct snipe_service_cost services[SNIPE_CHAIN_MAX_SERVICES];
 	int count;
-	int is_rough; /* learned while many calls failed */
+	int is_rough; /* learned while many calls failed, or incomplete */
 };
 
 /* Adds a cost, scaled by a factor, to a sum. */
@@ -43,9 +43,12 @@
 			  double factor);
 /* Returns the slot time at a service in microseconds, 0 if it is not needed. */
 double snipe_chain_cost_at(const struct snipe_chain_cost *cost, uint64_t service);
+/* Whether a cost is over twice another one at a service that takes a tenth of it or more. */
+int snipe_chain_cost_exceeds(const struct snipe_chain_cost *cost,
+			     const struct snipe_chain_cost *other);
 /* Moves a mean towards a sample; weight is that of the sample. An empty mean takes the sample
- * over, and so does a rough one if the sample is not rough. A rough sample does not change
- * other means. */
+ * over, and so does a rough one if the sample is not rough. Another mean does so with a rough
+ * sample that exceeds it, and is not changed by one that does not. */
 void snipe_chain_cost_average(struct snipe_chain_cost *mean,
 			      const struct snipe_chain_cost *sample, double weight);
 
@@ -53,13 +56,21 @@
 #define SNIPE_CALL_PROFILE_ROUTES 16
 #define SNIPE_CALL_PROFILE_CALLEES 16
 
+/* Kinds of times, by the part of the calls that fail. */
+enum snipe_call_times {
+	SNIPE_CALLS_SUCCEED, /* chains are complete */
+	SNIPE_CALLS_FAIL,    /* many chains are cut short */
+	SNIPE_CALL_TIMES,
+};
+
 /* A route that runs at this node. Fields are private. */
 struct snipe_call_profile_route {
 	uint64_t route;	      /* hash of its name */
 	double run_us;	      /* mean time of a run that succeeded; 0: none yet */
 	double failed_run_us; /* mean time of a run that failed; 0: none yet */
 	double sample_runs, sample_failed_runs;
-	double calls[SNIPE_CALL_PROFILE_CALLEES]; /* estimate for each request */
+	/* Estimates for each request, by kind of times. */
+	double calls[SNIPE_CALL_TIMES][SNIPE_CALL_PROFILE_CALLEES];
 };
 
 /* A route that the backend server of this node calls. Fields are private. */
@@ -86,11 +97,11 @@
 	int route_count;
 	struct snipe_call_profile_callee callees[SNIPE_CALL_PROFILE_CALLEES];
 	int callee_count;
-	struct snipe_call_sums complete;  /* of times in which calls succeeded */
-	struct snipe_call_sums truncated; /* of times in which many failed */
+	struct snipe_call_sums sums[SNIPE_CALL_TIMES];
+	enum snipe_call_times times;	    /* of the last sample */
+	uint64_t samples[SNIPE_CALL_TIMES]; /* since the start */
 	int64_t sample_start_us;
-	double recent_calls, recent_failed_calls;     /* decaying sums */
-	uint64_t complete_samples, truncated_samples; /* since the start */
+	double recent_calls, recent_failed_calls; /* decaying sums */
 };
 
 void snipe_call_profile_init(struct snipe_call_profile *p, int64_t now_us);
--- a/libs/core/route_costs.c
+++ b/libs/core/route_costs.c
@@ -58,12 +58,13 @@
 {
 	struct snipe_route_cost *r = route_at(c, handle);
 
-	if (stated->count == 0 || (r->is_loaded && stated->is_rough))
+	if (stated->count == 0)
 		return;
 	snipe_chain_cost_average(&r->cost, stated, r->is_loaded ? 1 : ANSWER_WEIGHT);
-	r->is_loaded = 0;
 	if (!stated->is_rough)
 		r->learned_ms = wall_ms;
+	if (!stated->is_rough || r->cost.is_rough)
+		r->is_loaded = 0;
 }
 
 static int is_printed(const struct snipe_route_cost *r)
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -292,9 +292,9 @@
 	e->count_cancelled = snipe_counters_get(c, "requests_cancelled_total", "");
 	e->count_retries = snipe_counters_get(c, "requests_retried_total", "");
 	e->gauge_in_flight = snipe_counters_get(c, "requests_in_flight", "");
-	e->count_complete_samples =
+	e->count_good_samples =
 		snipe_counters_get(c, "call_samples_total", "calls=\"succeeded\"");
-	e->count_truncated_samples =
+	e->count_failing_samples =
 		snipe_counters_get(c, "call_samples_total", "calls=\"failed\"");
 	e->busy_rejected = snipe_counters_get(c, "busy_us_total", "work=\"reject\"");
 	e->busy_admitted = snipe_counters_get(c, "busy_us_total", "work=\"admit\"");
@@ -423,10 +423,10 @@
 	snipe_chain_limit_end_update(&e->chain_limit, snipe_now_us(),
 				     snipe_directory_interval_us(e->config.directory));
 	log_chain_changes(e);
-	snipe_counters_set(e->config.counters, e->count_complete_samples,
-			   (int64_t)p->complete_samples);
-	snipe_counters_set(e->config.counters, e->count_truncated_samples,
-			   (int64_t)p->truncated_samples);
+	snipe_counters_set(e->config.counters, e->count_good_samples,
+			   (int64_t)p->samples[SNIPE_CALLS_SUCCEED]);
+	snipe_counters_set(e->config.counters, e->count_failing_samples,
+			   (int64_t)p->samples[SNIPE_CALLS_FAIL]);
 }
 
 void snipe_entry_fill_report(struct snipe_entry *e, int64_t now_us, struct snipe_node_report *r)
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -61,8 +61,8 @@
 	int is_ending;	 /* calls of backend servers are rejected too */
 	struct snipe_histogram latency; /* of served client requests, microseconds */
 	int count_requests, count_served, count_retries, count_rejected, count_failed,
-		count_cancelled, count_chain_rejected, count_late, count_complete_samples,
-		count_truncated_samples, gauge_in_flight;
+		count_cancelled, count_chain_rejected, count_late, count_good_samples,
+		count_failing_samples, gauge_in_flight;
 	int busy_rejected, busy_admitted, busy_answered; /* processor time by kind of work */
 };
 
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -99,7 +99,8 @@
 		  "request=%s status=%d reason=%s route=%s service=%s workspace=%s inner=%d "
 		  "server_node=%s attempts=%d arrived_attempts=%d took_ms=%lld left_ms=%lld "
 		  "retry_after_ms=%lld tables=%llx tables_age_ms=%lld entry_limit=%.1f "
-		  "chain_services=%d chain_share=%.3f bottleneck=%s bottleneck_slot_ms=%.1f "
+		  "chain_services=%d chain_rough=%d chain_share=%.3f bottleneck=%s "
+		  "bottleneck_slot_ms=%.1f "
 		  "in_flight=%d suppressed=%u",
 		  call->request_id, status, reason, call->route ? call->route->name : "",
 		  call->service ? call->service : "",
@@ -116,7 +117,8 @@
 		  (unsigned long long)(call->routing ? call->routing->version : 0),
 		  (long long)(e->confirmed_us ? (now - e->confirmed_us) / 1000 : -1),
 		  call->entry_route ? call->entry_route->limit.limit : 0.0,
-		  snipe_entry_call_cost(call)->count, call->chain_share,
+		  snipe_entry_call_cost(call)->count, snipe_entry_call_cost(call)->is_rough,
+		  call->chain_share,
 		  snipe_directory_service_name(e->config.directory, call->bottleneck),
 		  snipe_chain_cost_at(snipe_entry_call_cost(call), call->bottleneck) / 1000,
 		  e->in_flight, suppressed);
--- a/tests/core/call_profile_test.cc
+++ b/tests/core/call_profile_test.cc
@@ -34,8 +34,9 @@
 	};
 	std::priority_queue<Event> events;
 	bool calls_fail = false;
-	double failing_part = 0;    // part of the calls that fail, and end their run
-	double failing_runs = 0;    // part of the runs that fail although their calls succeed
+	double failing_part = 0; // part of the calls that fail, and end their run
+	double failing_runs = 0; // part of the runs that fail although their calls succeed
+	bool states_cost = true;
 	bool calls_at_once = false; // all calls are made, also if one fails
 
 	Server()
@@ -53,7 +54,8 @@
 			return;
 		}
 		snipe_call_profile_call(&profile, e.at, e.route);
-		snipe_call_profile_answer(&profile, e.route, !fails, fails ? nullptr : &cost);
+		snipe_call_profile_answer(&profile, e.route, !fails,
+					  fails || !states_cost ? nullptr : &cost);
 	}
 	void start(uint64_t route, uint64_t callee, int calls)
 	{
@@ -171,6 +173,50 @@
 	EXPECT_FALSE(s.is_rough(TIPS));
 }
 
+// Guards against a cost that seems final although it lacks the services further down.
+TEST(CallProfile, ACostWithoutThatOfItsCallsIsRough)
+{
+	Server s;
+
+	s.states_cost = false;
+	s.run(10, {{TIPS, 40, LOOKUP, 4}});
+	EXPECT_EQ(s.cost(TIPS, DEEP), 0);
+	EXPECT_TRUE(s.is_rough(TIPS));
+	s.states_cost = true;
+	s.run(1, {{TIPS, 40, LOOKUP, 4}});
+	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 4000);
+	EXPECT_FALSE(s.is_rough(TIPS));
+}
+
+// Guards against a cost from calm times that is too low, and cannot be corrected in a shortage.
+TEST(CallProfile, CallsThatFailCorrectACostThatIsFarTooLow)
+{
+	Server s;
+
+	s.run(10, {{TIPS, 60, LOOKUP, 1}});
+	s.failing_part = 0.3;
+	s.run(5, {{TIPS, 60, LOOKUP, 4}});
+	EXPECT_GE(s.cost(TIPS, DEEP), 3 * 20000);
+	EXPECT_TRUE(s.is_rough(TIPS));
+	s.failing_part = 0;
+	s.run(60, {{TIPS, 60, LOOKUP, 4}});
+	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 12000);
+	EXPECT_FALSE(s.is_rough(TIPS));
+}
+
+// Guards against a cost that stays rough because of a route on which clients need no key.
+TEST(CallProfile, RareCallsDoNotKeepACostRough)
+{
+	Server s;
+
+	for (int i = 0; i < 20; i++) {
+		s.run(0.5, {{TIPS, 40, LOOKUP, 4}});
+		snipe_call_profile_call(&s.profile, s.now, TEMPLATES);
+		snipe_call_profile_answer(&s.profile, TEMPLATES, 1, nullptr);
+	}
+	EXPECT_FALSE(s.is_rough(TIPS));
+}
+
 TEST(CallProfile, RunsThatFailByThemselvesDoNotRaiseTheRoughCost)
 {
 	Server s;
@@ -244,6 +290,20 @@
 	EXPECT_EQ(snipe_chain_cost_at(&big, 1), 0);
 }
 
+TEST(ChainCost, ARoughSampleReplacesAMeanThatItExceeds)
+{
+	struct snipe_chain_cost mean = {{{OWN, 100.0}}, 1, 0},
+				rough = {{{OWN, 100.0}, {DEEP, 50.0}}, 2, 1};
+
+	snipe_chain_cost_average(&mean, &rough, 0.5);
+	EXPECT_EQ(snipe_chain_cost_at(&mean, DEEP), 50);
+	EXPECT_TRUE(mean.is_rough);
+	rough = {{{OWN, 150.0}, {DEEP, 90.0}}, 2, 1};
+	mean.is_rough = 0;
+	snipe_chain_cost_average(&mean, &rough, 0.5);
+	EXPECT_EQ(snipe_chain_cost_at(&mean, DEEP), 50) << "not over twice as much";
+}
+
 TEST(ChainCost, ARoughSampleChangesOnlyARoughMean)
 {
 	struct snipe_chain_cost mean = {}, rough = {{{DEEP, 10.0}}, 1, 1},
--- a/tests/core/route_costs_test.cc
+++ b/tests/core/route_costs_test.cc
@@ -75,6 +75,8 @@
 	after.load(before.print());
 	after.learn(READ, 90000, 1);
 	EXPECT_EQ(after.deep(READ), 50000) << "a rough cost is no better";
+	after.learn(READ, 110000, 1);
+	EXPECT_EQ(after.deep(READ), 110000) << "the loaded cost cannot be right";
 	after.learn(READ, 10000);
 	EXPECT_EQ(after.deep(READ), 10000);
 	EXPECT_TRUE(snipe_route_costs_have_changed(&after.c));
