call profile: no final cost while many runs are open

Callers saw the chain limit close too far for ten seconds after a restart in a shortage. Runs last longest then, and a run that has not ended counts a half although it may have made most of its calls: the first cost was up to 1.8 times too high, and replaced the one from the store.

A cost is taken for final when the runs in the samples are three times those that are open. CallProfile.RunsThatHaveNotEndedDoNotRaiseTheCost failed before.

--- a/libs/core/call_profile.c
+++ b/libs/core/call_profile.c
@@ -17,6 +17,8 @@
 #define MIN_SAMPLES 3.0
 #define MIN_TRUNCATED_SAMPLES 2.0
 #define MIN_RUNS 5.0
+/* Runs that have not ended may have made most of their calls, and count a half. */
+#define MIN_RUNS_PER_OPEN_RUN 3.0
 /* Time constant of the part of the calls that fail; while it is above MAX_FAILED_RATIO, samples
  * count as truncated. */
 #define FAILED_TIME_US 1000000.0
@@ -198,9 +200,12 @@
 {
 	const struct snipe_call_sums *s = &p->sums[times];
 
-	return s->samples >=
-		       (times == SNIPE_CALLS_FAIL ? MIN_TRUNCATED_SAMPLES : MIN_SAMPLES) &&
-	       s->runs[route] >= MIN_RUNS;
+	if (s->runs[route] < MIN_RUNS)
+		return 0;
+	if (times == SNIPE_CALLS_FAIL)
+		return s->samples >= MIN_TRUNCATED_SAMPLES;
+	return s->samples >= MIN_SAMPLES &&
+	       s->runs[route] >= MIN_RUNS_PER_OPEN_RUN * p->routes[route].open_runs;
 }
 
 /* Least squares over some of the routes. */
@@ -366,8 +371,10 @@
 	struct snipe_call_profile_route *r = get_or_add_route(p, route);
 
 	advance(p, now_us);
-	if (r)
-		r->sample_runs += 0.5;
+	if (!r)
+		return;
+	r->sample_runs += 0.5;
+	r->open_runs++;
 }
 
 void snipe_call_profile_end(struct snipe_call_profile *p, int64_t now_us, uint64_t route,
@@ -381,6 +388,7 @@
 		return;
 	r->sample_runs += 0.5;
 	r->sample_failed_runs += !is_success;
+	r->open_runs--;
 	mean_us = is_success ? &r->run_us : &r->failed_run_us;
 	*mean_us = *mean_us > 0 ? *mean_us + RUN_WEIGHT * ((double)run_us - *mean_us)
 				: (double)run_us;
--- a/libs/core/call_profile.h
+++ b/libs/core/call_profile.h
@@ -69,6 +69,7 @@
 	double run_us;	      /* mean time of a run that succeeded; 0: none yet */
 	double failed_run_us; /* mean time of a run that failed; 0: none yet */
 	double sample_runs, sample_failed_runs;
+	int open_runs; /* started and not ended */
 	/* Estimates for each request, by kind of times. */
 	double calls[SNIPE_CALL_TIMES][SNIPE_CALL_PROFILE_CALLEES];
 };
--- a/tests/core/call_profile_test.cc
+++ b/tests/core/call_profile_test.cc
@@ -37,6 +37,7 @@
 	double failing_part = 0; // part of the calls that fail, and end their run
 	double failing_runs = 0; // part of the runs that fail although their calls succeed
 	bool states_cost = true;
+	int64_t min_run_us = 60000, max_run_us = 180000;
 	bool calls_at_once = false; // all calls are made, also if one fails
 
 	Server()
@@ -59,7 +60,8 @@
 	}
 	void start(uint64_t route, uint64_t callee, int calls)
 	{
-		int64_t run = std::uniform_int_distribution<int64_t>(60000, 180000)(rng);
+		int64_t run =
+			std::uniform_int_distribution<int64_t>(min_run_us, max_run_us)(rng);
 		int64_t step = run / (calls + 2);
 		bool any_fails = false;
 
@@ -188,6 +190,21 @@
 	EXPECT_FALSE(s.is_rough(TIPS));
 }
 
+// Guards against a cost that is too high for many seconds after a start: the first runs have
+// made their calls before they end.
+TEST(CallProfile, RunsThatHaveNotEndedDoNotRaiseTheCost)
+{
+	Server s;
+
+	s.min_run_us = 1500000;
+	s.max_run_us = 2500000;
+	for (int i = 0; i < 40; i++) {
+		s.run(0.25, {{TIPS, 40, LOOKUP, 4}});
+		EXPECT_LT(s.cost(TIPS, DEEP), 1.25 * 4 * 20000) << i;
+	}
+	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 16000);
+}
+
 // Guards against a cost from calm times that is too low, and cannot be corrected in a shortage.
 TEST(CallProfile, CallsThatFailCorrectACostThatIsFarTooLow)
 {
