chain limit: the trim waits for the requests admitted before the limit

Callers saw fewer requests served in the seconds after a restart in a shortage than before it. The requests of the first second, which are admitted without a limit, fill the gates until they end, and the trim took their rejections for costs that are too low, and closed the limit further. Where the costs were unknown at first, it had fallen to its least before the limit began, and rose slowly.

The trim now starts when the last request admitted without the limit must have ended, and is 1 again when the demand, known at last, exceeds the slots. Two tests of core_chain_limit_test; both failed before.

--- a/libs/core/chain_limit.c
+++ b/libs/core/chain_limit.c
@@ -27,8 +27,8 @@
  * full speed below FULL_RATIO: rejections then come from single servers that are full, and
  * fewer requests would leave the others idle. */
 #define MAX_REJECTED_RATIO 0.02
-/* The trim starts this time and this many report intervals after the limit: until then, reports
- * tell of the time before it. */
+/* The trim starts when the requests that were admitted without the limit have ended, and this
+ * time and this many report intervals after: until then, reports tell of them. */
 #define TRIM_HOLD_US 1000000
 #define TRIM_HOLD_INTERVALS 1.5
 #define TRIM_FALL_PER_S 1.0
@@ -116,8 +116,9 @@
 	return 1 - (1 - r->share) * MIN(relative / SMALL_COST_RATIO, 1);
 }
 
-double snipe_chain_limit_offer(struct snipe_chain_limit *l, int64_t now_us, int rank,
-			       const struct snipe_chain_cost *cost, uint64_t *bottleneck)
+double snipe_chain_limit_offer(struct snipe_chain_limit *l, int64_t now_us, int64_t deadline_us,
+			       int rank, const struct snipe_chain_cost *cost,
+			       uint64_t *bottleneck)
 {
 	double share = 1;
 
@@ -133,6 +134,8 @@
 		r = get_or_add_rank(s, rank);
 		r->offered_us += cost->services[i].slot_us;
 		s->offered_requests++;
+		if (!s->is_limiting)
+			s->unlimited_until_us = MAX(s->unlimited_until_us, deadline_us);
 		service_share = request_share(s, r, cost->services[i].slot_us);
 		if (s->is_limiting && service_share < share) {
 			share = service_share;
@@ -215,13 +218,26 @@
 		get_or_add_rank(s, demand->rank)->demand += demand->slots;
 }
 
+static double total_demand(const struct snipe_chain_service *s)
+{
+	double demand = 0;
+
+	for (int i = 0; i < s->rank_count; i++)
+		demand += s->ranks[i].demand;
+	return demand;
+}
+
 static void adjust_trim(struct snipe_chain_service *s, int is_known, double elapsed_s)
 {
 	double busy = s->slots > 0 ? s->busy_slots / s->slots : 0;
 	double unfilled = CLAMP((FILL_RATIO - busy) / (FILL_RATIO - FULL_RATIO), 0, 1);
 
-	if (s->is_limiting && !is_known)
+	if (s->is_limiting && !is_known) {
+		/* The trim fell while the costs, and so the demand, were not known. */
+		if (total_demand(s) > FILL_RATIO * s->slots)
+			s->trim = MAX(s->trim, 1);
 		return;
+	}
 	if (busy >= FULL_RATIO && s->rejected_ratio > MAX_REJECTED_RATIO)
 		s->trim *= 1 - MIN(TRIM_FALL_PER_S * s->rejected_ratio * elapsed_s, 0.5);
 	else if (s->is_limiting || s->trim < 1)
@@ -236,13 +252,10 @@
 static void compute_shares(struct snipe_chain_service *s, int64_t now_us)
 {
 	double slots = s->slots * FILL_RATIO * s->trim;
-	double demand = 0, left = slots * (1 - RESERVE_RATIO), unmet = 0, rest;
-	int was_limiting;
+	double left = slots * (1 - RESERVE_RATIO), unmet = 0, rest;
+	int was_limiting = s->is_limiting;
 
-	for (int i = 0; i < s->rank_count; i++)
-		demand += s->ranks[i].demand;
-	was_limiting = s->is_limiting;
-	s->is_limiting = s->slots > 0 && demand > slots &&
+	s->is_limiting = s->slots > 0 && total_demand(s) > slots &&
 			 (s->is_limiting || s->busy_slots >= FULL_RATIO * s->slots);
 	s->has_changed |= s->is_limiting != was_limiting;
 	if (!was_limiting)
@@ -273,7 +286,9 @@
 		s->has_servers = s->weight > 0;
 		if (s->has_servers)
 			s->rejected_ratio /= s->weight;
-		adjust_trim(s, now_us - s->limiting_since_us >= hold_us, elapsed_s);
+		adjust_trim(
+			s, now_us - MAX(s->limiting_since_us, s->unlimited_until_us) >= hold_us,
+			elapsed_s);
 		compute_shares(s, now_us);
 	}
 }
@@ -292,11 +307,10 @@
 			.is_limiting = s->is_limiting,
 			.slots = s->slots,
 			.busy_slots = s->busy_slots,
+			.demand = total_demand(s),
 			.rejected_ratio = s->rejected_ratio,
 			.trim = s->trim,
 		};
-		for (int j = 0; j < s->rank_count; j++)
-			change->demand += s->ranks[j].demand;
 		return 0;
 	}
 	return SNIPE_ERR_NOT_FOUND;
--- a/libs/core/chain_limit.h
+++ b/libs/core/chain_limit.h
@@ -58,6 +58,7 @@
 	int is_limiting;
 	int has_changed; /* is_limiting changed, and no snipe_chain_limit_next_change yet */
 	int64_t limiting_since_us;
+	int64_t unlimited_until_us; /* end of the last request admitted without a limit */
 	struct snipe_chain_rank ranks[SNIPE_CHAIN_LIMIT_RANKS]; /* in the order of rank */
 	int rank_count;
 };
@@ -71,11 +72,12 @@
 
 void snipe_chain_limit_init(struct snipe_chain_limit *l, int64_t now_us);
 
-/* Records a client request that asks for admission, and returns the part of such requests that
- * may be admitted, 0 to 1. If that is below 1, bottleneck is set to the hash of the service
- * that is short. */
-double snipe_chain_limit_offer(struct snipe_chain_limit *l, int64_t now_us, int rank,
-			       const struct snipe_chain_cost *cost, uint64_t *bottleneck);
+/* Records a client request that asks for admission and has to end by deadline_us, and returns
+ * the part of such requests that may be admitted, 0 to 1. If that is below 1, bottleneck is set
+ * to the hash of the service that is short. */
+double snipe_chain_limit_offer(struct snipe_chain_limit *l, int64_t now_us, int64_t deadline_us,
+			       int rank, const struct snipe_chain_cost *cost,
+			       uint64_t *bottleneck);
 
 /* Fills the demand at this entry for services that are busy, the largest first. Returns the
  * number of entries, at most max. */
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -186,8 +186,8 @@
 	struct snipe_entry_route *route = call->entry_route;
 
 	call->chain_share = snipe_chain_limit_offer(
-		&e->chain_limit, call->received_us, snipe_entry_call_rank(call),
-		snipe_entry_call_cost(call), &call->bottleneck);
+		&e->chain_limit, call->received_us, call->deadline_us,
+		snipe_entry_call_rank(call), snipe_entry_call_cost(call), &call->bottleneck);
 	if (call->chain_share >= 1)
 		return 1;
 	route->chain_credit += call->chain_share;
--- a/tests/core/chain_limit_test.cc
+++ b/tests/core/chain_limit_test.cc
@@ -81,8 +81,8 @@
 
 			for (auto &e : entries)
 				for (int i = 0; i < arrivals; i++)
-					admitted += snipe_chain_limit_offer(&e, now, r.rank, &c,
-									    &bottleneck);
+					admitted += snipe_chain_limit_offer(&e, now, 0, r.rank,
+									    &c, &bottleneck);
 			r.admitted = is_limited ? admitted * 1e6 / STEP_US
 						: arrivals * entries.size() * 1e6 / STEP_US;
 		}
@@ -230,7 +230,7 @@
 
 	snipe_chain_limit_init(&l, 0);
 	for (int i = 0; i < 1000; i++)
-		snipe_chain_limit_offer(&l, i * 1000, 0, &both, &bottleneck);
+		snipe_chain_limit_offer(&l, i * 1000, 0, 0, &both, &bottleneck);
 	snipe_chain_limit_begin_update(&l);
 	for (uint64_t service : {DEEP, OTHER}) {
 		struct snipe_chain_demand d = {service, 0, 100};
@@ -239,12 +239,69 @@
 		snipe_chain_limit_add_demand(&l, &d);
 	}
 	snipe_chain_limit_end_update(&l, 0, 1000000);
-	EXPECT_NEAR(snipe_chain_limit_offer(&l, 1000000, 0, &both, &bottleneck), 0.24, 0.02);
+	EXPECT_NEAR(snipe_chain_limit_offer(&l, 1000000, 0, 0, &both, &bottleneck), 0.24, 0.02);
 	EXPECT_EQ(bottleneck, OTHER);
-	EXPECT_NEAR(snipe_chain_limit_offer(&l, 1000000, 0, &one, &bottleneck), 0.48, 0.03);
+	EXPECT_NEAR(snipe_chain_limit_offer(&l, 1000000, 0, 0, &one, &bottleneck), 0.48, 0.03);
 	EXPECT_EQ(bottleneck, DEEP);
 }
 
+// One service with 50 slots, all in use, whose gates reject half of their calls.
+struct FullService {
+	struct snipe_chain_limit l;
+	struct snipe_chain_cost cost = {{{DEEP, 1e5}}, 1, 0};
+	int64_t now = 0;
+	uint64_t bottleneck = 0;
+
+	FullService()
+	{
+		snipe_chain_limit_init(&l, now);
+	}
+	void run(double seconds, double demand, double rejected_ratio = 0.5)
+	{
+		for (int64_t end = now + (int64_t)(seconds * 1e6); now < end; now += STEP_US) {
+			struct snipe_chain_demand d = {DEEP, 0, demand};
+
+			snipe_chain_limit_begin_update(&l);
+			snipe_chain_limit_add_server(&l, DEEP, 50, 50, rejected_ratio);
+			snipe_chain_limit_add_demand(&l, &d);
+			snipe_chain_limit_end_update(&l, now, 300000);
+		}
+	}
+	double offer(int64_t time_left_us)
+	{
+		return snipe_chain_limit_offer(&l, now, now + time_left_us, 0, &cost,
+					       &bottleneck);
+	}
+};
+
+// Guards against a limit that closes too far after a restart: for as long as the requests of
+// the first second last, the gates reject their calls.
+TEST(ChainLimit, RequestsAdmittedBeforeTheLimitDoNotCloseItFurther)
+{
+	FullService s;
+
+	s.offer(4000000);
+	s.run(0.1, 100);
+	EXPECT_NEAR(s.offer(4000000), 0.475, 0.01);
+	s.run(4, 100);
+	EXPECT_NEAR(s.offer(4000000), 0.475, 0.01);
+	s.run(6, 100);
+	EXPECT_LT(s.offer(4000000), 0.3) << "the costs are too low";
+}
+
+TEST(ChainLimit, ALimitStartsAnewOnceTheCostsAreKnown)
+{
+	FullService s;
+
+	s.offer(1000000);
+	s.run(2, 0);
+	EXPECT_EQ(s.offer(1000000), 1);
+	s.run(0.2, 30);
+	EXPECT_LT(s.offer(1000000), 1) << "known in part";
+	s.run(0.2, 100);
+	EXPECT_NEAR(s.offer(1000000), 0.475, 0.01);
+}
+
 TEST(ChainLimit, ARequestThatNeedsVeryLittleOfAServiceIsCutLess)
 {
 	struct snipe_chain_limit l;
@@ -254,13 +311,13 @@
 
 	snipe_chain_limit_init(&l, 0);
 	for (int i = 0; i < 1000; i++)
-		snipe_chain_limit_offer(&l, i * 1000, 0, &much, &bottleneck);
+		snipe_chain_limit_offer(&l, i * 1000, 0, 0, &much, &bottleneck);
 	snipe_chain_limit_begin_update(&l);
 	snipe_chain_limit_add_server(&l, DEEP, 20, 100, 0.5);
 	snipe_chain_limit_add_demand(&l, &d);
 	snipe_chain_limit_end_update(&l, 1000000, 1000000);
-	EXPECT_LT(snipe_chain_limit_offer(&l, 1000000, 0, &much, &bottleneck), 0.25);
-	EXPECT_GT(snipe_chain_limit_offer(&l, 1000000, 0, &little, &bottleneck), 0.95);
+	EXPECT_LT(snipe_chain_limit_offer(&l, 1000000, 0, 0, &much, &bottleneck), 0.25);
+	EXPECT_GT(snipe_chain_limit_offer(&l, 1000000, 0, 0, &little, &bottleneck), 0.95);
 }
 
 // A report has room for some entries only.
@@ -274,9 +331,9 @@
 	snipe_chain_limit_init(&l, 0);
 	for (int rank = 0; rank < 4; rank++)
 		for (int i = 0; i < 10 * (rank + 1); i++)
-			snipe_chain_limit_offer(&l, 0, rank, &deep, &bottleneck);
+			snipe_chain_limit_offer(&l, 0, 0, rank, &deep, &bottleneck);
 	for (int i = 0; i < 100; i++)
-		snipe_chain_limit_offer(&l, 0, 0, &other, &bottleneck);
+		snipe_chain_limit_offer(&l, 0, 0, 0, &other, &bottleneck);
 	snipe_chain_limit_begin_update(&l);
 	snipe_chain_limit_add_server(&l, DEEP, 20, 16, 0);
 	snipe_chain_limit_add_server(&l, OTHER, 20, 5, 0);
