call profile: drop the samples of the first seconds when calls begin to fail

Callers saw 50 to 58 requests a second served instead of 70 in the fifth and sixth second after a restart in a shortage (process_restart_in_shortage_test; it failed once of two runs beside load: 63.3 of 64.2 asked).

The samples from before the first failures have the calls of runs whose ends are counted in those after it, so the calls for each run were 1.4 times too many as soon as calls succeeded again. Such samples are dropped if many of their runs are open.

CallProfile.RunsThatEndAfterTheirCallsBeganToFailDoNotRaiseTheCost failed before.

--- a/libs/core/call_profile.c
+++ b/libs/core/call_profile.c
@@ -333,6 +333,22 @@
 		calls[j] *= MAX(factor, 1);
 }
 
+/* Forgets the samples of the first seconds if the calls begin to fail: the runs that are open
+ * made their calls then, and end later. */
+static void drop_early_samples(struct snipe_call_profile *p)
+{
+	struct snipe_call_sums *s = &p->sums[SNIPE_CALLS_SUCCEED];
+	double runs = 0;
+	int open = 0;
+
+	for (int i = 0; i < p->route_count; i++) {
+		runs += s->runs[i];
+		open += p->routes[i].open_runs;
+	}
+	if (runs < MIN_RUNS_PER_OPEN_RUN * open)
+		memset(s, 0, sizeof(*s));
+}
+
 static void end_sample(struct snipe_call_profile *p, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - p->sample_start_us);
@@ -341,6 +357,8 @@
 	enum snipe_call_times times = is_failing ? SNIPE_CALLS_FAIL : SNIPE_CALLS_SUCCEED;
 	struct snipe_call_sums *s = &p->sums[times];
 
+	if (is_failing && p->times == SNIPE_CALLS_SUCCEED)
+		drop_early_samples(p);
 	p->times = times;
 	p->samples[times]++;
 	decay_sums(p, s, exp(-elapsed_us / (is_failing ? TRUNCATED_MEMORY_US : MEMORY_US)));
--- a/tests/core/call_profile_test.cc
+++ b/tests/core/call_profile_test.cc
@@ -205,6 +205,25 @@
 	EXPECT_NEAR(s.cost(TIPS, DEEP), 4 * 20000, 16000);
 }
 
+TEST(CallProfile, RunsThatEndAfterTheirCallsBeganToFailDoNotRaiseTheCost)
+{
+	Server s;
+
+	s.min_run_us = 1500000;
+	s.max_run_us = 2500000;
+	s.run(2, {{TIPS, 60, LOOKUP, 4}});
+	s.failing_part = 0.5;
+	s.run(4, {{TIPS, 60, LOOKUP, 4}});
+	s.failing_part = 0;
+	s.min_run_us = 60000;
+	s.max_run_us = 180000;
+	for (int i = 0; i < 40; i++) {
+		s.run(0.25, {{TIPS, 30, LOOKUP, 4}});
+		EXPECT_TRUE(s.is_rough(TIPS) || s.cost(TIPS, DEEP) < 1.1 * 4 * 20000) << i;
+	}
+	EXPECT_FALSE(s.is_rough(TIPS));
+}
+
 // Guards against a cost from calm times that is too low, and cannot be corrected in a shortage.
 TEST(CallProfile, CallsThatFailCorrectACostThatIsFarTooLow)
 {
