call profile: a rough cost raises one that is too low, and never lowers it

Since early samples are dropped, most statements after a restart are rough, and one that was twice too high at any service, often the running time of the upper ones, replaced the whole loaded cost, also where it was better.

A rough cost now raises another one at the services where it is twice as high.

--- a/libs/core/call_profile.c
+++ b/libs/core/call_profile.c
@@ -30,8 +30,9 @@
 /* Calls for each request that a cost must include: requests of clients without a key look like
  * rare calls. */
 #define MIN_CALLS 0.1
-/* A cost exceeds another one by this factor, at a service that takes this part of it. */
-#define EXCESS_FACTOR 2.0
+/* A rough cost raises another one if it is over this factor higher, at a service that takes
+ * this part of it. */
+#define RAISE_FACTOR 2.0
 #define MIN_PART 0.1
 /* Weight of one run in the mean run time, and of one answer in the mean cost of a call. */
 #define RUN_WEIGHT 0.05
@@ -75,21 +76,23 @@
 	return 0;
 }
 
-int snipe_chain_cost_exceeds(const struct snipe_chain_cost *cost,
-			     const struct snipe_chain_cost *other)
+int snipe_chain_cost_raise(struct snipe_chain_cost *cost, const struct snipe_chain_cost *rough)
 {
 	double sum = 0;
-
-	for (int i = 0; i < cost->count; i++)
-		sum += cost->services[i].slot_us;
-	for (int i = 0; i < cost->count; i++) {
-		const struct snipe_service_cost *s = &cost->services[i];
-
-		if (s->slot_us >= MIN_PART * sum &&
-		    s->slot_us > EXCESS_FACTOR * snipe_chain_cost_at(other, s->service))
-			return 1;
+	int is_raised = 0;
+
+	for (int i = 0; i < rough->count; i++)
+		sum += rough->services[i].slot_us;
+	for (int i = 0; i < rough->count; i++) {
+		const struct snipe_service_cost *s = &rough->services[i];
+		double known_us = snipe_chain_cost_at(cost, s->service);
+
+		if (s->slot_us < MIN_PART * sum || s->slot_us <= RAISE_FACTOR * known_us)
+			continue;
+		insert_cost(cost, s->service, s->slot_us - known_us);
+		is_raised = 1;
 	}
-	return 0;
+	return is_raised;
 }
 
 void snipe_chain_cost_average(struct snipe_chain_cost *mean,
@@ -97,9 +100,10 @@
 {
 	struct snipe_chain_cost next = {.count = 0};
 
-	if (mean->count > 0 && sample->is_rough && !mean->is_rough &&
-	    !snipe_chain_cost_exceeds(sample, mean))
+	if (mean->count > 0 && sample->is_rough && !mean->is_rough) {
+		snipe_chain_cost_raise(mean, sample);
 		return;
+	}
 	if (mean->count > 0 && sample->is_rough == mean->is_rough) {
 		snipe_chain_cost_add(&next, mean, 1 - weight);
 		snipe_chain_cost_add(&next, sample, weight);
@@ -471,8 +475,9 @@
 		return SNIPE_ERR_NOT_FOUND;
 	fill_cost(p, SNIPE_CALLS_SUCCEED, i, service, cost);
 	fill_cost(p, SNIPE_CALLS_FAIL, i, service, &rough);
-	if (cost->count == 0 ||
-	    (p->times == SNIPE_CALLS_FAIL && snipe_chain_cost_exceeds(&rough, cost)))
+	if (cost->count == 0)
 		*cost = rough;
+	else if (p->times == SNIPE_CALLS_FAIL && snipe_chain_cost_raise(cost, &rough))
+		cost->is_rough = 1;
 	return cost->count > 0 ? 0 : SNIPE_ERR_NOT_FOUND;
 }
--- a/libs/core/call_profile.h
+++ b/libs/core/call_profile.h
@@ -43,12 +43,12 @@
 			  double factor);
 /* Returns the slot time at a service in microseconds, 0 if it is not needed. */
 double snipe_chain_cost_at(const struct snipe_chain_cost *cost, uint64_t service);
-/* Whether a cost is over twice another one at a service that takes a tenth of it or more. */
-int snipe_chain_cost_exceeds(const struct snipe_chain_cost *cost,
-			     const struct snipe_chain_cost *other);
+/* Raises a cost at the services where a rough cost is over twice as high, if they take a tenth
+ * of the rough cost or more. Returns whether it did. */
+int snipe_chain_cost_raise(struct snipe_chain_cost *cost, const struct snipe_chain_cost *rough);
 /* Moves a mean towards a sample; weight is that of the sample. An empty mean takes the sample
- * over, and so does a rough one if the sample is not rough. Another mean does so with a rough
- * sample that exceeds it, and is not changed by one that does not. */
+ * over, and so does a rough one if the sample is not rough. A rough sample can only raise a
+ * mean that is not rough. */
 void snipe_chain_cost_average(struct snipe_chain_cost *mean,
 			      const struct snipe_chain_cost *sample, double weight);
 
