--- a/libs/core/route_costs.c
+++ b/libs/core/route_costs.c
@@ -167,7 +167,7 @@
 	struct snipe_route_cost r;
 	int n = 0, ret = 0;
 
-	for (int i = 0; lines[i] && i < SNIPE_ROUTE_COSTS_MAX_PRINTED && ret == 0; i++) {
+	for (int i = 0; i < SNIPE_ROUTE_COSTS_MAX_PRINTED && lines[i] && ret == 0; i++) {
 		if (!*lines[i])
 			continue;
 		ret = parse_line(lines[i], &r);
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -41,7 +41,7 @@
 	/* Random, so that the entries do not all reject their first request. */
 	s->chain_credit = g_rand_double(e->rng);
 	snipe_entry_limit_init(&s->limit, snipe_now_us());
-	s->cost = snipe_route_costs_handle(e->config.costs, snipe_hash64_str(name));
+	s->cost_handle = snipe_route_costs_handle(e->config.costs, snipe_hash64_str(name));
 	g_hash_table_insert(e->routes, g_strdup(name), s);
 	return s;
 }
@@ -462,7 +462,7 @@
 			"\"unloaded_us\":%.0f,\"chain_services\":%d}",
 			n++ ? "," : "", (const char *)name, s->limit.limit, s->limit.in_flight,
 			s->limit.latency_us, s->limit.unloaded_latency_us,
-			snipe_route_costs_at(e->config.costs, s->cost, 0)->count);
+			snipe_route_costs_at(e->config.costs, s->cost_handle, 0)->count);
 	}
 	snipe_buffer_printf(out, "}}");
 }
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -81,7 +81,7 @@
 
 	if (!call->entry_route || !call->service)
 		return &unknown;
-	return snipe_route_costs_at(call->entry->config.costs, call->entry_route->cost,
+	return snipe_route_costs_at(call->entry->config.costs, call->entry_route->cost_handle,
 				    snipe_hash64_str(call->service));
 }
 
@@ -90,6 +90,7 @@
 {
 	static struct snipe_log_limit limits[2];
 	const struct snipe_entry *e = call->entry;
+	const struct snipe_chain_cost *cost = snipe_entry_call_cost(call);
 	int64_t now = snipe_now_us();
 	unsigned suppressed;
 
@@ -116,12 +117,10 @@
 		  (long long)(retry_after_us / 1000),
 		  (unsigned long long)(call->routing ? call->routing->version : 0),
 		  (long long)(e->confirmed_us ? (now - e->confirmed_us) / 1000 : -1),
-		  call->entry_route ? call->entry_route->limit.limit : 0.0,
-		  snipe_entry_call_cost(call)->count, snipe_entry_call_cost(call)->is_rough,
-		  call->chain_share,
+		  call->entry_route ? call->entry_route->limit.limit : 0.0, cost->count,
+		  cost->is_rough, call->chain_share,
 		  snipe_directory_service_name(e->config.directory, call->bottleneck),
-		  snipe_chain_cost_at(snipe_entry_call_cost(call), call->bottleneck) / 1000,
-		  e->in_flight, suppressed);
+		  snipe_chain_cost_at(cost, call->bottleneck) / 1000, e->in_flight, suppressed);
 }
 
 static void add_header(struct snipe_h1_header *h, const char *name, const char *value)
@@ -400,8 +399,9 @@
 					  snipe_hash64_str(call->route->name), is_success,
 					  &answer->cost);
 	else if (answer->cost.count > 0)
-		snipe_route_costs_learn(call->entry->config.costs, call->entry_route->cost,
-					snipe_wall_ms(), &answer->cost);
+		snipe_route_costs_learn(call->entry->config.costs,
+					call->entry_route->cost_handle, snipe_wall_ms(),
+					&answer->cost);
 }
 
 static void handle_answer(struct snipe_entry_attempt *a, int err,
--- a/libs/gateway/entry_state.h
+++ b/libs/gateway/entry_state.h
@@ -20,7 +20,7 @@
 
 struct snipe_entry_route {
 	struct snipe_entry_limit limit;
-	int cost;		/* handle of its cost */
+	int cost_handle;	/* in the route costs */
 	double chain_credit;	/* accumulated parts of a request that may be admitted */
 	double mean_attempt_us; /* of the attempts that were answered; 0: none yet */
 	int *current_weights;	/* of the targets, for smooth weighted round robin */
