--- a/libs/core/call_profile.c
+++ b/libs/core/call_profile.c
@@ -27,6 +27,9 @@
 #define MAX_TOLD_FAILED_RATIO 0.95
 /* A route makes calls only if its estimate is above this many standard errors. */
 #define MIN_STANDARD_ERRORS 3.0
+/* Runs that are assumed to have succeeded besides those that did: without any, chains could be
+ * of any length. */
+#define MIN_SUCCEEDED_RUNS 2.0
 /* Calls for each request that a cost must include: requests of clients without a key look like
  * rare calls. */
 #define MIN_CALLS 0.1
@@ -101,10 +104,10 @@
 	struct snipe_chain_cost next = {.count = 0};
 
 	if (mean->count > 0 && sample->is_rough && !mean->is_rough) {
-		snipe_chain_cost_raise(mean, sample);
+		mean->is_raised |= snipe_chain_cost_raise(mean, sample);
 		return;
 	}
-	if (mean->count > 0 && sample->is_rough == mean->is_rough) {
+	if (mean->count > 0 && sample->is_rough == mean->is_rough && !mean->is_raised) {
 		snipe_chain_cost_add(&next, mean, 1 - weight);
 		snipe_chain_cost_add(&next, sample, weight);
 		*mean = next;
@@ -331,8 +334,11 @@
 	}
 	if (log_success >= 0)
 		return;
-	failed = MIN(s->failed_runs[route] / s->runs[route], failed_calls);
-	factor = log(MAX(1 - failed, 0.5 / s->runs[route])) / log_success;
+	failed = MIN(s->failed_runs[route] / (s->runs[route] + MIN_SUCCEEDED_RUNS),
+		     failed_calls);
+	factor = log(MAX(1 - failed,
+			 MIN_SUCCEEDED_RUNS / (s->runs[route] + MIN_SUCCEEDED_RUNS))) /
+		 log_success;
 	for (int j = 0; j < p->callee_count; j++)
 		calls[j] *= MAX(factor, 1);
 }
--- a/libs/core/call_profile.h
+++ b/libs/core/call_profile.h
@@ -36,7 +36,8 @@
 struct snipe_chain_cost {
 	struct snipe_service_cost services[SNIPE_CHAIN_MAX_SERVICES];
 	int count;
-	int is_rough; /* learned while many calls failed, or incomplete */
+	int is_rough;  /* learned while many calls failed, or incomplete */
+	int is_raised; /* a mean that is not rough was raised by a rough sample since */
 };
 
 /* Adds a cost, scaled by a factor, to a sum. */
@@ -49,7 +50,7 @@
 int snipe_chain_cost_raise(struct snipe_chain_cost *cost, const struct snipe_chain_cost *rough);
 /* Moves a mean towards a sample; weight is that of the sample. An empty mean takes the sample
  * over, and so does a rough one if the sample is not rough. A rough sample can only raise a
- * mean that is not rough. */
+ * mean that is not rough; the next sample that is not rough takes over then. */
 void snipe_chain_cost_average(struct snipe_chain_cost *mean,
 			      const struct snipe_chain_cost *sample, double weight);
 
