Revert the last three changes of the call profile

This takes back 'drop the samples of the first seconds', 'a rough cost raises' and 'a raised cost gives way'. A rough cost that is over twice another one replaces it again.

--- a/libs/core/call_profile.c
+++ b/libs/core/call_profile.c
@@ -27,15 +27,11 @@
 #define MAX_TOLD_FAILED_RATIO 0.95
 /* A route makes calls only if its estimate is above this many standard errors. */
 #define MIN_STANDARD_ERRORS 3.0
-/* Runs that are assumed to have succeeded besides those that did: without any, chains could be
- * of any length. */
-#define MIN_SUCCEEDED_RUNS 2.0
 /* Calls for each request that a cost must include: requests of clients without a key look like
  * rare calls. */
 #define MIN_CALLS 0.1
-/* A rough cost raises another one if it is over this factor higher, at a service that takes
- * this part of it. */
-#define RAISE_FACTOR 2.0
+/* A cost exceeds another one by this factor, at a service that takes this part of it. */
+#define EXCESS_FACTOR 2.0
 #define MIN_PART 0.1
 /* Weight of one run in the mean run time, and of one answer in the mean cost of a call. */
 #define RUN_WEIGHT 0.05
@@ -79,23 +75,21 @@
 	return 0;
 }
 
-int snipe_chain_cost_raise(struct snipe_chain_cost *cost, const struct snipe_chain_cost *rough)
+int snipe_chain_cost_exceeds(const struct snipe_chain_cost *cost,
+			     const struct snipe_chain_cost *other)
 {
 	double sum = 0;
-	int is_raised = 0;
-
-	for (int i = 0; i < rough->count; i++)
-		sum += rough->services[i].slot_us;
-	for (int i = 0; i < rough->count; i++) {
-		const struct snipe_service_cost *s = &rough->services[i];
-		double known_us = snipe_chain_cost_at(cost, s->service);
-
-		if (s->slot_us < MIN_PART * sum || s->slot_us <= RAISE_FACTOR * known_us)
-			continue;
-		insert_cost(cost, s->service, s->slot_us - known_us);
-		is_raised = 1;
+
+	for (int i = 0; i < cost->count; i++)
+		sum += cost->services[i].slot_us;
+	for (int i = 0; i < cost->count; i++) {
+		const struct snipe_service_cost *s = &cost->services[i];
+
+		if (s->slot_us >= MIN_PART * sum &&
+		    s->slot_us > EXCESS_FACTOR * snipe_chain_cost_at(other, s->service))
+			return 1;
 	}
-	return is_raised;
+	return 0;
 }
 
 void snipe_chain_cost_average(struct snipe_chain_cost *mean,
@@ -103,11 +97,10 @@
 {
 	struct snipe_chain_cost next = {.count = 0};
 
-	if (mean->count > 0 && sample->is_rough && !mean->is_rough) {
-		mean->is_raised |= snipe_chain_cost_raise(mean, sample);
+	if (mean->count > 0 && sample->is_rough && !mean->is_rough &&
+	    !snipe_chain_cost_exceeds(sample, mean))
 		return;
-	}
-	if (mean->count > 0 && sample->is_rough == mean->is_rough && !mean->is_raised) {
+	if (mean->count > 0 && sample->is_rough == mean->is_rough) {
 		snipe_chain_cost_add(&next, mean, 1 - weight);
 		snipe_chain_cost_add(&next, sample, weight);
 		*mean = next;
@@ -334,31 +327,12 @@
 	}
 	if (log_success >= 0)
 		return;
-	failed = MIN(s->failed_runs[route] / (s->runs[route] + MIN_SUCCEEDED_RUNS),
-		     failed_calls);
-	factor = log(MAX(1 - failed,
-			 MIN_SUCCEEDED_RUNS / (s->runs[route] + MIN_SUCCEEDED_RUNS))) /
-		 log_success;
+	failed = MIN(s->failed_runs[route] / s->runs[route], failed_calls);
+	factor = log(MAX(1 - failed, 0.5 / s->runs[route])) / log_success;
 	for (int j = 0; j < p->callee_count; j++)
 		calls[j] *= MAX(factor, 1);
 }
 
-/* Forgets the samples of the first seconds if the calls begin to fail: the runs that are open
- * made their calls then, and end later. */
-static void drop_early_samples(struct snipe_call_profile *p)
-{
-	struct snipe_call_sums *s = &p->sums[SNIPE_CALLS_SUCCEED];
-	double runs = 0;
-	int open = 0;
-
-	for (int i = 0; i < p->route_count; i++) {
-		runs += s->runs[i];
-		open += p->routes[i].open_runs;
-	}
-	if (runs < MIN_RUNS_PER_OPEN_RUN * open)
-		memset(s, 0, sizeof(*s));
-}
-
 static void end_sample(struct snipe_call_profile *p, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - p->sample_start_us);
@@ -367,8 +341,6 @@
 	enum snipe_call_times times = is_failing ? SNIPE_CALLS_FAIL : SNIPE_CALLS_SUCCEED;
 	struct snipe_call_sums *s = &p->sums[times];
 
-	if (is_failing && p->times == SNIPE_CALLS_SUCCEED)
-		drop_early_samples(p);
 	p->times = times;
 	p->samples[times]++;
 	decay_sums(p, s, exp(-elapsed_us / (is_failing ? TRUNCATED_MEMORY_US : MEMORY_US)));
@@ -481,9 +453,8 @@
 		return SNIPE_ERR_NOT_FOUND;
 	fill_cost(p, SNIPE_CALLS_SUCCEED, i, service, cost);
 	fill_cost(p, SNIPE_CALLS_FAIL, i, service, &rough);
-	if (cost->count == 0)
+	if (cost->count == 0 ||
+	    (p->times == SNIPE_CALLS_FAIL && snipe_chain_cost_exceeds(&rough, cost)))
 		*cost = rough;
-	else if (p->times == SNIPE_CALLS_FAIL && snipe_chain_cost_raise(cost, &rough))
-		cost->is_rough = 1;
 	return cost->count > 0 ? 0 : SNIPE_ERR_NOT_FOUND;
 }
--- a/libs/core/call_profile.h
+++ b/libs/core/call_profile.h
@@ -12,9 +12,8 @@
  * ends the chain of its parent early, so while many calls fail, requests make fewer calls than
  * they need. How many they need then follows from the parts of the calls and of the runs that
  * fail; if hardly any run succeeds, the result is too low. Such a rough cost is used until
- * there is one from other times, and raises one that is far too low: a node that starts in a
- * shortage has no better one, and without any it would admit all requests, and the calls would
- * never cease to fail.
+ * there is one from other times: a node that starts in a shortage has no better one, and
+ * without any it would admit all requests, and the calls would never cease to fail.
  */
 #ifndef SNIPE_CALL_PROFILE_H
 #define SNIPE_CALL_PROFILE_H
@@ -36,8 +35,7 @@
 struct snipe_chain_cost {
 	struct snipe_service_cost services[SNIPE_CHAIN_MAX_SERVICES];
 	int count;
-	int is_rough;  /* learned while many calls failed, or incomplete */
-	int is_raised; /* a mean that is not rough was raised by a rough sample since */
+	int is_rough; /* learned while many calls failed, or incomplete */
 };
 
 /* Adds a cost, scaled by a factor, to a sum. */
@@ -45,12 +43,12 @@
 			  double factor);
 /* Returns the slot time at a service in microseconds, 0 if it is not needed. */
 double snipe_chain_cost_at(const struct snipe_chain_cost *cost, uint64_t service);
-/* Raises a cost at the services where a rough cost is over twice as high, if they take a tenth
- * of the rough cost or more. Returns whether it did. */
-int snipe_chain_cost_raise(struct snipe_chain_cost *cost, const struct snipe_chain_cost *rough);
+/* Whether a cost is over twice another one at a service that takes a tenth of it or more. */
+int snipe_chain_cost_exceeds(const struct snipe_chain_cost *cost,
+			     const struct snipe_chain_cost *other);
 /* Moves a mean towards a sample; weight is that of the sample. An empty mean takes the sample
- * over, and so does a rough one if the sample is not rough. A rough sample can only raise a
- * mean that is not rough; the next sample that is not rough takes over then. */
+ * over, and so does a rough one if the sample is not rough. Another mean does so with a rough
+ * sample that exceeds it, and is not changed by one that does not. */
 void snipe_chain_cost_average(struct snipe_chain_cost *mean,
 			      const struct snipe_chain_cost *sample, double weight);
 
--- a/libs/core/route_costs.c
+++ b/libs/core/route_costs.c
@@ -69,7 +69,7 @@
 
 static int is_printed(const struct snipe_route_cost *r)
 {
-	return r->cost.count > 0 && !r->cost.is_rough && !r->cost.is_raised;
+	return r->cost.count > 0 && !r->cost.is_rough;
 }
 
 static int has_changed(const struct snipe_route_cost *r)
--- a/libs/wire/message.c
+++ b/libs/wire/message.c
@@ -187,7 +187,7 @@
 {
 	struct snipe_reader list;
 
-	cost->count = cost->is_rough = cost->is_raised = 0;
+	cost->count = cost->is_rough = 0;
 	if (r->has_error || r->next >= r->array->size)
 		return;
 	list = snipe_read_array(r);
