--- a/libs/core/call_profile.h
+++ b/libs/core/call_profile.h
@@ -11,9 +11,10 @@
  * know which client requests need it, and how much of it, before they admit them. A failed call
  * ends the chain of its parent early, so while many calls fail, requests make fewer calls than
  * they need. How many they need then follows from the parts of the calls and of the runs that
- * fail; if hardly any run succeeds, the result is too low. Such a rough cost is used until
- * there is one from other times: a node that starts in a shortage has no better one, and
- * without any it would admit all requests, and the calls would never cease to fail.
+ * fail; if hardly any run succeeds, the result is uncertain. Such a rough cost is used until
+ * there is one from other times, and replaces one that is far too low: a node that starts in a
+ * shortage has no better one, and without any it would admit all requests, and the calls would
+ * never cease to fail.
  */
 #ifndef SNIPE_CALL_PROFILE_H
 #define SNIPE_CALL_PROFILE_H
