--- a/review/stand-ins-2/fleet.cc
+++ b/review/stand-ins-2/fleet.cc
@@ -244,6 +244,8 @@
 		if (poll(&p, 1, 50) <= 0)
 			continue;
 		fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+		if (fd < 0 && cut_)
+			SleepMs(5);
 		if (fd < 0)
 			continue;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
@@ -251,6 +253,8 @@
 		{
 			std::lock_guard<std::mutex> lock(mutex_);
 			open_.insert(fd);
+			if (cut_)
+				shutdown(fd, SHUT_RDWR);
 		}
 		std::thread([this, fd] {
 			{
@@ -264,6 +268,16 @@
 	}
 }
 
+void Listener::Cut()
+{
+	std::lock_guard<std::mutex> lock(mutex_);
+
+	cut_ = true;
+	shutdown(fd_, SHUT_RDWR);
+	for (int fd : open_)
+		shutdown(fd, SHUT_RDWR);
+}
+
 void Listener::Close()
 {
 	if (closed_.exchange(true))
@@ -558,6 +572,12 @@
 	Stop();
 }
 
+void Backend::Crash()
+{
+	leaving_ = true; // no more pings
+	listener_->Cut();
+}
+
 void Backend::Stop()
 {
 	if (stopped_.exchange(true))
--- a/review/stand-ins-2/fleet.h
+++ b/review/stand-ins-2/fleet.h
@@ -87,13 +87,15 @@
       public:
 	Listener(int port, std::function<void(Connection &)> serve);
 	~Listener();
+	// Ends all connections and refuses new ones, at once.
+	void Cut();
 	void Close();
 
       private:
 	void Run();
 	int fd_;
 	std::function<void(Connection &)> serve_;
-	std::atomic<bool> closed_{false};
+	std::atomic<bool> closed_{false}, cut_{false};
 	std::mutex mutex_;
 	std::set<int> open_;
 	std::thread thread_;
@@ -174,6 +176,7 @@
 		const std::string &zone, int port, int admin_port, int capacity,
 		std::function<Work(const Message &)> work);
 	~Backend();
+	void Crash(); // ends all its connections at once; Stop frees the rest
 	void Stop();
 	// Sends its leaving and goes on serving; true once it is acknowledged.
 	bool Leave();
