--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,6 +1,6 @@
 // A backend server leaves and is acknowledged; the node is killed while the store turns its
 // machine away, and a ping from before the leaving arrives seconds late. The leaving must hold.
-#include "../stand-ins-2/fleet.h"
+#include "../6/fleet.h"
 
 using namespace review;
 
--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,6 +1,6 @@
 // A planned stop of a node whose clients keep sending: requests that it reads after the third
 // second of the stop, and passes on, must be answered.
-#include "../stand-ins-2/fleet.h"
+#include "fleet.h"
 
 #include <algorithm>
 
--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,7 +1,7 @@
 // A backend server leaves during an outage of the store and is acknowledged; all nodes are
 // killed before the store is back, and a ping from before the leaving arrives seconds late. The
 // leaving must hold.
-#include "../stand-ins-2/fleet.h"
+#include "../6/fleet.h"
 
 using namespace review;
 
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,6 +1,6 @@
 // All backend servers of a service end at once while many clients read the same page, and then
 // all nodes are killed. The page must be served again once everything is back.
-#include "../stand-ins-2/fleet.h"
+#include "../6/fleet.h"
 
 using namespace review;
 
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,6 +1,6 @@
 // A planned stop while a client waits for pipelined requests: answers that the backend servers
 // have given must reach the client, also behind one that will not come before the end.
-#include "../stand-ins-2/fleet.h"
+#include "../6/fleet.h"
 
 using namespace review;
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 out=../target/review-2
 mkdir -p "$out"
 flags=(-std=c++17 -O2 -Wall -Wextra -pthread)
-g++ "${flags[@]}" -c stand-ins-2/fleet.cc -o "$out/fleet.o"
+g++ "${flags[@]}" -c 6/fleet.cc -o "$out/fleet.o"
 for number in 6 7 8 9 10; do
 	source=$number/case.cc
 	[ -f "$source" ] || continue
