tests: clients, servers and nodes that do not behave, against the memory of a node

The support code gains the memory that a node is told, the limit of bodies in the tables and the size of answers.

--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -308,7 +308,7 @@
 	born_ms_ = ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 	if (snipe_h1_server_init(&server_, loop.base, &address, "server", &ops, this, &err))
 		give_up(err.text);
-	server_.limits = {65536, 10000000, 60000000, 60000000, 0, 0};
+	server_.limits = {65536, 100000000, 60000000, 60000000, 0, 0};
 	snipe_h1_pool_init(&admin_, loop.base);
 	snipe_h1_pool_set_address(&admin_, &admin);
 	snipe_h1_pool_init(&outbound_, loop.base);
@@ -504,7 +504,12 @@
 			r.head_content_length = "100"; // breaks off within the body
 			snipe_h1_respond(req, &r);
 		} else {
-			Respond(req, status, "body of " + job->id,
+			bool is_long =
+				behaviour.body_bytes &&
+				strncmp(snipe_buffer_str(&req->message.url), "/long/", 6) == 0;
+			Respond(req, status,
+				is_long ? std::string(behaviour.body_bytes, 'b')
+					: "body of " + job->id,
 				{{"Attempt-Id", job->id},
 				 {"Server-Signature", "s." + id},
 				 {"Instance-Id", id}});
@@ -621,8 +626,11 @@
 	       "],\"bootstrap\":" + (bootstrap ? "true" : "false") +
 	       ",\"heartbeat-s\":0.2,\"bounds\":{\"grace-s\":6,\"revoke-s\":5,"
 	       "\"retry-budget-ratio\":0.2},\"local-app\":\"" +
-	       Text(n.at.told_app) + "\",\"platform\":{\"address\":\"" + Text(n.at.told_store) +
-	       "\"}}";
+	       Text(n.at.told_app) + "\"," +
+	       (node_memory_mb
+			? "\"limits\":{\"memory-mb\":" + std::to_string(node_memory_mb) + "},"
+			: "") +
+	       "\"platform\":{\"address\":\"" + Text(n.at.told_store) + "\"}}";
 }
 
 void Deployment::Start(size_t node, bool bootstrap)
@@ -761,8 +769,9 @@
 			"]},\"services\":{\"columns\":[\"name\",\"max-connections\"],"
 			"\"rows\":[" +
 			Join(services) +
-			"]},\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":1000000,"
-			"\"header-timeout-s\":3,\"idle-timeout-s\":15},\"tenants\":{"
+			"]},\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":" +
+			std::to_string(max_body_bytes) +
+			",\"header-timeout-s\":3,\"idle-timeout-s\":15},\"tenants\":{"
 			"\"columns\":[\"name\",\"api-keys\",\"priority\",\"requests-per-s\","
 			"\"burst\"],\"rows\":[" +
 			Join(tenants) + "]}}");
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -120,7 +120,8 @@
 	std::string crash_path; // a request for it ends the process, or empty
 	std::string inner;	// path of a call to make through the own node, or empty
 	std::string inner_host;
-	int inner_calls = 1; // how many, one after the other, until one fails
+	int inner_calls = 1;   // how many, one after the other, until one fails
+	size_t body_bytes = 0; // of each answer to a path below /long/; 0: a short one
 };
 
 class FakeServer
@@ -243,6 +244,8 @@
 	std::vector<std::unique_ptr<Node>> nodes;
 	int version = 0;
 	int node_descriptors = 0; // most that a node started from now on may open; 0: any
+	int node_memory_mb = 0;	  // stated to nodes started from now on; 0: nothing is stated
+	int max_body_bytes = 1000000; // of requests, in the tables
 
       private:
 	std::string Settings(const Node &n, bool bootstrap) const;
