gateway: what is held for clients is bounded over all connections

Callers saw: a crowd that sends bodies in chunks and stops before the end, or goes far over the limit, has a node hold them all; at the memory of its machine the node is killed, and the requests of everybody else with it. Cause: bodies, input and answers were bounded for each connection, and nothing counted them over all; memory-mb of the settings was not read. Change: every buffer of a client's connection is charged to one account. Past 0.4 of the memory nothing more is received, and the holder with the most bytes for the longest time is given up in the same turn of the loop: an unfinished body with 503 and Retry-After, which it may promise since nothing was passed on; who holds under 64 KB never. The kernel's share of the input is bounded, a large answer is no longer copied into the output, large buffers grow by a quarter, and large blocks go back to the kernel at once.

--- a/libs/base/buffer.c
+++ b/libs/base/buffer.c
@@ -4,6 +4,17 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "base/memory_account.h"
+
+/* Above this size, buffers grow by a quarter instead of being doubled. */
+#define LARGE_BYTES ((size_t)256 * 1024)
+
+static void resize(struct snipe_buffer *buf, size_t size)
+{
+	buf->data = g_realloc(buf->data, size);
+	snipe_memory_update(buf->account, &buf->size, size);
+}
+
 static void reserve(struct snipe_buffer *buf, size_t extra)
 {
 	size_t want = buf->len + extra + 1;
@@ -12,9 +23,8 @@
 	if (want <= buf->size)
 		return;
 	while (size < want)
-		size *= 2;
-	buf->data = g_realloc(buf->data, size);
-	buf->size = size;
+		size += size < LARGE_BYTES ? size : size / 4;
+	resize(buf, size);
 }
 
 void snipe_buffer_init(struct snipe_buffer *buf)
@@ -22,10 +32,39 @@
 	memset(buf, 0, sizeof(*buf));
 }
 
+void snipe_buffer_init_charged(struct snipe_buffer *buf, struct snipe_memory_account *account)
+{
+	snipe_buffer_init(buf);
+	buf->account = account;
+}
+
 void snipe_buffer_finish(struct snipe_buffer *buf)
 {
+	struct snipe_memory_account *account = buf->account;
+
 	g_free(buf->data);
-	memset(buf, 0, sizeof(*buf));
+	snipe_memory_release(account, buf->size);
+	snipe_buffer_init_charged(buf, account);
+}
+
+void snipe_buffer_reserve(struct snipe_buffer *buf, size_t len)
+{
+	if (buf->len + len + 1 > buf->size)
+		resize(buf, buf->len + len + 1);
+}
+
+void snipe_buffer_move(struct snipe_buffer *from, struct snipe_buffer *to)
+{
+	struct snipe_memory_account *account = to->account;
+
+	snipe_buffer_finish(to);
+	if (account != from->account) {
+		snipe_memory_charge(account, from->size);
+		snipe_memory_release(from->account, from->size);
+	}
+	*to = *from;
+	to->account = account;
+	snipe_buffer_init_charged(from, from->account);
 }
 
 void snipe_buffer_clear(struct snipe_buffer *buf)
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -325,6 +325,8 @@
 				   "callers", &ops, e, err);
 	if (ret < 0)
 		return ret;
+	if (config->memory)
+		snipe_h1_server_set_memory_limit(&e->server, config->memory);
 	e->server.limits.max_head_bytes = DEFAULT_MAX_HEAD_BYTES;
 	e->server.limits.max_body_bytes = SNIPE_MAX_BODY_BYTES;
 	e->server.limits.head_timeout_us = DEFAULT_HEAD_TIMEOUT_US;
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -41,6 +41,7 @@
 	struct snipe_route_costs *costs;
 	struct snipe_counters *counters;
 	const struct snipe_loop_lag *lag; /* of the event loop */
+	struct snipe_memory_limit *memory;
 };
 
 /* Fields are private. */
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "base/memory_limit.h"
 #include "core/loop_lag.h"
 #include "gateway/cost_log.h"
 #include "gateway/crash_log.h"
@@ -56,6 +57,12 @@
 #define ADMIN_BODY_BYTES (64 * 1024)
 #define ADMIN_IDLE_TIMEOUT_US 60000000
 #define ADMIN_MAX_CONNECTIONS 16
+/* Part of the process's memory that may be held for clients, servers and other nodes. The rest
+ * is for the node itself, for copies within one turn of the loop, and for what the allocator
+ * cannot give back. */
+#define HELD_MEMORY_RATIO 0.4
+/* Interval of the log lines about a lack of memory. */
+#define MEMORY_LOG_INTERVAL_US 1000000
 #define HEAD_TIMEOUT_US 3000000
 
 struct gateway {
@@ -79,6 +86,10 @@
 	struct snipe_cost_log cost_log;
 	GPtrArray *pending_announcements; /* of departures that a kill could still undo */
 	struct snipe_h1_server ready, admin, metrics;
+	struct snipe_memory_limit memory;
+	struct event *memory_exceeded;
+	int64_t memory_logged_us;
+	uint64_t memory_logged_count; /* given up until then */
 	struct event *sigterm, *sigint, *sighup, *tick;
 	struct snipe_loop_lag lag;
 	struct load {
@@ -177,9 +188,19 @@
 			    (long long)s->accept_time_us, (long long)s->read_time_us);
 }
 
+static void print_memory(const struct snipe_memory_limit *l, struct snipe_buffer *out)
+{
+	snipe_buffer_printf(out,
+			    "snipescale_held_bytes %zu\n"
+			    "snipescale_held_bytes_max %zu\n"
+			    "snipescale_held_given_up_total %llu\n",
+			    l->account.held, l->account.limit, (unsigned long long)l->given_up);
+}
+
 static void print_metrics(struct gateway *g, struct snipe_buffer *out)
 {
 	print_client_connections(&g->entry.server, out);
+	print_memory(&g->memory, out);
 	snipe_counters_print(&g->counters, out);
 	print_quantiles(&g->entry.latency, "request_latency", out);
 	print_quantiles(&g->lag.lags_us, "event_loop_lag", out);
@@ -694,6 +715,41 @@
 	schedule_tick(g);
 }
 
+static void on_memory_exceeded(void *arg)
+{
+	struct gateway *g = arg;
+
+	event_active(g->memory_exceeded, 0, 0);
+}
+
+static void enforce_memory_limit(evutil_socket_t fd, short what, void *arg)
+{
+	struct gateway *g = arg;
+	int64_t now = snipe_now_us();
+	size_t before = g->memory.account.held;
+
+	(void)fd;
+	(void)what;
+	snipe_memory_limit_enforce(&g->memory, now);
+	if (now - g->memory_logged_us < MEMORY_LOG_INTERVAL_US)
+		return;
+	snipe_log(SNIPE_LOG_WARNING, "memory_limit_reached",
+		  "held=%zu before=%zu limit=%zu given_up=%llu connections=%d",
+		  g->memory.account.held, before, g->memory.account.limit,
+		  (unsigned long long)(g->memory.given_up - g->memory_logged_count),
+		  g->entry.server.connection_count);
+	g->memory_logged_us = now;
+	g->memory_logged_count = g->memory.given_up;
+}
+
+static void init_memory(struct gateway *g)
+{
+	double most = HELD_MEMORY_RATIO * (double)g->settings.max_memory_bytes;
+
+	g->memory_exceeded = event_new(g->base, -1, 0, enforce_memory_limit, g);
+	snipe_memory_limit_init(&g->memory, (size_t)most, on_memory_exceeded, g);
+}
+
 static int init_servers(struct gateway *g, struct snipe_error_text *err)
 {
 	static const struct snipe_h1_limits limits = {
@@ -713,6 +769,9 @@
 		ret = snipe_h1_server_init(&g->metrics, g->base, &g->settings.metrics_listen,
 					   "counters", &metrics_ops, g, err);
 	g->ready.limits = g->admin.limits = g->metrics.limits = limits;
+	snipe_h1_server_set_memory_limit(&g->ready, &g->memory);
+	snipe_h1_server_set_memory_limit(&g->admin, &g->memory);
+	snipe_h1_server_set_memory_limit(&g->metrics, &g->memory);
 	return ret;
 }
 
@@ -759,6 +818,7 @@
 		.costs = &g->costs,
 		.counters = &g->counters,
 		.lag = &g->lag,
+		.memory = &g->memory,
 	};
 
 	snipe_gate_init(&g->gate, &gate);
@@ -864,6 +924,7 @@
 		snipe_peer_task_finish(&g->peers);
 	snipe_routing_unref(g->routing);
 	snipe_route_costs_finish(&g->costs);
+	event_free(g->memory_exceeded);
 }
 
 static struct event *add_signal(struct gateway *g, int sig, event_callback_fn cb)
@@ -910,6 +971,7 @@
 	snipe_call_profile_init(&g->profile, snipe_now_us());
 	snipe_route_costs_init(&g->costs);
 	g->settings_revision = host->settings_revision(host->arg);
+	init_memory(g);
 	ret = init_peers(g, process, err);
 	if (ret == 0)
 		ret = init_call_path(g, err);
--- a/libs/gateway/settings.h
+++ b/libs/gateway/settings.h
@@ -30,7 +30,8 @@
 	int64_t stop_grace_us;	      /* time from SIGTERM to the exit */
 	double retry_ratio;  /* most retries, as a fraction of the requests of a service */
 	int max_descriptors; /* that the process may open for sockets; 0: as the kernel says */
-	double retry_slack;  /* retries of a service that the fleet may make in addition */
+	size_t max_memory_bytes; /* that the process may take; 0: not stated */
+	double retry_slack;	 /* retries of a service that the fleet may make in addition */
 };
 
 #ifdef __cplusplus
--- a/libs/h1/message.c
+++ b/libs/h1/message.c
@@ -4,11 +4,17 @@
 #include <strings.h>
 
 void snipe_h1_message_init(struct snipe_h1_message *m)
+{
+	snipe_h1_message_init_charged(m, NULL);
+}
+
+void snipe_h1_message_init_charged(struct snipe_h1_message *m,
+				   struct snipe_memory_account *account)
 {
 	memset(m, 0, sizeof(*m));
-	snipe_buffer_init(&m->url);
-	snipe_buffer_init(&m->text);
-	snipe_buffer_init(&m->body);
+	snipe_buffer_init_charged(&m->url, account);
+	snipe_buffer_init_charged(&m->text, account);
+	snipe_buffer_init_charged(&m->body, account);
 }
 
 void snipe_h1_message_finish(struct snipe_h1_message *m)
--- a/libs/h1/message.h
+++ b/libs/h1/message.h
@@ -38,6 +38,9 @@
 };
 
 void snipe_h1_message_init(struct snipe_h1_message *m);
+/* The account, which must stay valid, is charged with the memory of the message. */
+void snipe_h1_message_init_charged(struct snipe_h1_message *m,
+				   struct snipe_memory_account *account);
 void snipe_h1_message_finish(struct snipe_h1_message *m);
 /* Empties the message and keeps its memory. */
 void snipe_h1_message_clear(struct snipe_h1_message *m);
--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -33,6 +33,9 @@
 #define FREE_CONNECTIONS_RATIO 8
 /* A connection without a request is idle after this time. */
 #define FIRST_REQUEST_MAX_US 1000000
+#define CLOSE_HEADER "Connection: close\r\n"
+/* When the client of a request that was given up for lack of memory may come back. */
+#define NO_MEMORY_RETRY_AFTER "1"
 
 struct snipe_h1_connection {
 	struct snipe_h1_server *server;
@@ -42,6 +45,8 @@
 	int is_new;			 /* its first request may be on the way */
 	int64_t accept_wait_us;		 /* how long it waited to be accepted, at most */
 	int is_rejected;		 /* no request of it was admitted, or not the last */
+	struct snipe_memory_account account;
+	int64_t held_since_us; /* as long as it holds more than a little; 0: it does not */
 	struct snipe_h1_stream stream;
 	struct snipe_h1_parser parser;
 	struct snipe_h1_request *reading;      /* the request being read */
@@ -60,6 +65,7 @@
 
 static void free_request(struct snipe_h1_request *req)
 {
+	snipe_memory_release(&req->connection->account, sizeof(*req));
 	snipe_h1_message_finish(&req->message);
 	snipe_buffer_finish(&req->response);
 	g_free(req);
@@ -117,6 +123,7 @@
 	if (c->reading)
 		free_request(c->reading);
 	snipe_h1_stream_finish(&c->stream);
+	snipe_memory_release(&c->account, sizeof(*c));
 	g_free(c);
 }
 
@@ -169,6 +176,7 @@
 {
 	struct snipe_buffer *out = &req->response;
 
+	snipe_buffer_init_charged(out, &req->connection->account);
 	snipe_buffer_printf(out, "HTTP/1.1 %d %s\r\n", r->status, status_text(r->status));
 	for (int i = 0; i < r->header_count; i++)
 		append_header(out, &r->headers[i]);
@@ -178,19 +186,21 @@
 		snipe_buffer_printf(out, "Content-Length: %zu\r\n", r->body_len);
 	req->headers_len = out->len;
 	snipe_buffer_append(out, "\r\n", 2);
-	if (!r->is_head && has_body(r->status) && r->body_len)
+	if (!r->is_head && has_body(r->status) && r->body_len) {
+		if (r->body_len > SNIPE_MEMORY_SMALL_BYTES)
+			snipe_buffer_reserve(out, r->body_len + sizeof(CLOSE_HEADER));
 		snipe_buffer_append(out, r->body, r->body_len);
+	}
 }
 
 static void insert_close_header(struct snipe_h1_request *req)
 {
-	static const char header[] = "Connection: close\r\n";
 	struct snipe_buffer *out = &req->response;
-	size_t len = sizeof(header) - 1, rest = out->len - req->headers_len;
+	size_t len = sizeof(CLOSE_HEADER) - 1, rest = out->len - req->headers_len;
 
-	snipe_buffer_append(out, header, len);
+	snipe_buffer_append(out, CLOSE_HEADER, len);
 	memmove(out->data + req->headers_len + len, out->data + req->headers_len, rest);
-	memcpy(out->data + req->headers_len, header, len);
+	memcpy(out->data + req->headers_len, CLOSE_HEADER, len);
 }
 
 static int is_idle(const struct snipe_h1_connection *c)
@@ -199,6 +209,14 @@
 	       snipe_h1_stream_unsent(&c->stream) == 0;
 }
 
+static void update_held(struct snipe_h1_connection *c, int64_t now)
+{
+	if (c->account.held < SNIPE_MEMORY_SMALL_BYTES)
+		c->held_since_us = 0;
+	else if (!c->held_since_us)
+		c->held_since_us = now;
+}
+
 /* Moves the connection to the end of the list to which it belongs now. */
 static void update_idle(struct snipe_h1_connection *c)
 {
@@ -273,7 +291,7 @@
 		closes = closes_after(req);
 		if (closes)
 			insert_close_header(req);
-		snipe_h1_stream_send(&c->stream, req->response.data, req->response.len);
+		snipe_h1_stream_send_buffer(&c->stream, &req->response);
 		c->first = req->next;
 		if (!c->first)
 			c->last = NULL;
@@ -302,6 +320,7 @@
 	c->is_new = 0;
 	c->is_rejected = response->is_rejection;
 	flush_responses(c);
+	update_held(c, c->last_active_us);
 	update_idle(c);
 	/* Reading may have stopped at the limit of pipelined requests. */
 	if (!c->is_processing)
@@ -322,7 +341,12 @@
 /* Answers an invalid or incomplete request with an error and ends the connection. */
 static void respond_error(struct snipe_h1_connection *c, int status)
 {
-	struct snipe_h1_response r = {.status = status, .close = 1};
+	static const struct snipe_h1_header retry_after = {{"Retry-After", 11},
+							   {NO_MEMORY_RETRY_AFTER, 1}};
+	struct snipe_h1_response r = {.status = status,
+				      .close = 1,
+				      .headers = &retry_after,
+				      .header_count = status == 503};
 	struct snipe_h1_request *req = c->reading;
 
 	c->reading = NULL;
@@ -350,7 +374,8 @@
 
 	c->reading = g_new0(struct snipe_h1_request, 1);
 	c->reading->connection = c;
-	snipe_h1_message_init(&c->reading->message);
+	snipe_memory_charge(&c->account, sizeof(*c->reading));
+	snipe_h1_message_init_charged(&c->reading->message, &c->account);
 	snipe_h1_parser_init(&c->parser, &c->reading->message, 1, 0, l->max_head_bytes,
 			     l->max_body_bytes);
 }
@@ -426,6 +451,7 @@
 		close_connection(c);
 		return -1;
 	}
+	update_held(c, start);
 	update_idle(c);
 	return (ssize_t)consumed;
 }
@@ -437,6 +463,7 @@
 	c->last_active_us = snipe_now_us();
 	if (c->is_read_closed && !c->first && !c->linger_until_us)
 		begin_lingering_close(c);
+	update_held(c, c->last_active_us);
 	update_idle(c);
 	snipe_h1_stream_resume(&c->stream);
 }
@@ -459,7 +486,10 @@
 	LIST_INSERT_HEAD(&s->connections, c, entry);
 	s->connection_count++;
 	s->accepted_count++;
+	snipe_memory_account_init(&c->account, s->account);
+	snipe_memory_charge(&c->account, sizeof(*c));
 	snipe_h1_stream_init(&c->stream, s->base, fd, &stream_ops, c);
+	snipe_h1_stream_set_account(&c->stream, &c->account);
 	make_room(s);
 	update_accepting(s);
 }
@@ -586,10 +616,12 @@
 static int listen_on(const struct sockaddr *sa, socklen_t len)
 {
 	int fd = socket(sa->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	int one = 1, err;
+	int one = 1, window = SNIPE_H1_STREAM_WINDOW_BYTES, err;
 
 	if (fd < 0)
 		return -1;
+	/* The kernel's share of what is received counts as the process's memory too. */
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
 	if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) == 0 &&
 	    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one)) == 0 &&
 	    bind(fd, sa, len) == 0 && listen(fd, LISTEN_BACKLOG) == 0) {
@@ -638,6 +670,45 @@
 	return 0;
 }
 
+static double find_worst(void *arg, int64_t now_us)
+{
+	struct snipe_h1_server *s = arg;
+	double most = 0;
+
+	for (struct snipe_h1_connection *c = LIST_FIRST(&s->connections); c;
+	     c = LIST_NEXT(c, entry)) {
+		double cost;
+
+		update_held(c, now_us);
+		cost = snipe_memory_cost(c->account.held, c->held_since_us, now_us);
+		if (cost > most) {
+			most = cost;
+			s->worst = c;
+		}
+	}
+	return most;
+}
+
+static void give_up_worst(void *arg)
+{
+	struct snipe_h1_server *s = arg;
+	struct snipe_h1_connection *c = s->worst;
+
+	/* What was not read completely was not passed on, and may be refused. */
+	if (c->reading && !c->first && snipe_h1_stream_unsent(&c->stream) == 0)
+		respond_error(c, 503);
+	else
+		close_connection(c);
+}
+
+static const struct snipe_memory_holder_ops holder_ops = {find_worst, give_up_worst};
+
+void snipe_h1_server_set_memory_limit(struct snipe_h1_server *s, struct snipe_memory_limit *l)
+{
+	s->account = &l->account;
+	snipe_memory_limit_add(l, &s->holder, &holder_ops, s);
+}
+
 int64_t snipe_h1_accept_wait_us(const struct snipe_h1_request *req)
 {
 	return req->connection->is_new ? req->connection->accept_wait_us : 0;
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -11,6 +11,7 @@
 
 #include "base/address.h"
 #include "base/error.h"
+#include "base/memory_limit.h"
 #include "h1/message.h"
 
 #ifdef __cplusplus
@@ -101,6 +102,9 @@
 	int64_t accept_time_us;	    /* spent accepting connections, since the start */
 	int64_t read_time_us;	    /* spent reading requests, callbacks included */
 	int is_closing;
+	struct snipe_memory_account *account; /* parent of those of the connections */
+	struct snipe_memory_holder holder;
+	struct snipe_h1_connection *worst; /* of all connections, as last found */
 	const struct snipe_h1_server_ops *ops;
 	void *arg;
 };
@@ -111,6 +115,10 @@
 			 const struct snipe_address *listen, const char *role,
 			 const struct snipe_h1_server_ops *ops, void *arg,
 			 struct snipe_error_text *err);
+/* Bounds what is held for clients, from before the first connection on. A request that is given
+ * up before it was passed on is answered with 503; other connections are closed. The limit must
+ * stay valid. */
+void snipe_h1_server_set_memory_limit(struct snipe_h1_server *s, struct snipe_memory_limit *l);
 /* Closes the listener and all connections; pending requests are not reported as cancelled. */
 void snipe_h1_server_finish(struct snipe_h1_server *s);
 
--- a/libs/h1/stream.c
+++ b/libs/h1/stream.c
@@ -25,12 +25,16 @@
 {
 	int has_room = s->unread.len < MAX_UNREAD_BYTES;
 
+	if (s->unread.len == 0)
+		snipe_buffer_finish(&s->unread);
 	if (has_room == !!event_pending(&s->read, EV_READ, NULL))
 		return;
 	if (has_room)
 		event_add(&s->read, NULL);
 	else
 		event_del(&s->read);
+	snipe_memory_update(s->account, &s->charged,
+			    has_room ? 0 : SNIPE_H1_STREAM_WINDOW_BYTES);
 }
 
 /* Passes bytes on. Returns the number that was consumed, or -1 if the stream was finished. */
@@ -62,9 +66,12 @@
 {
 	static char data[RECEIVE_BYTES];
 	struct snipe_h1_stream *s = arg;
-	ssize_t len = recv(fd, data, sizeof(data), 0), consumed = 0;
+	ssize_t len, consumed = 0;
 
 	(void)what;
+	if (snipe_memory_is_exceeded(s->account))
+		return;
+	len = recv(fd, data, sizeof(data), 0);
 	if (len <= 0) {
 		if (len == 0 || (errno != EAGAIN && errno != EINTR))
 			s->ops->ended(s->arg);
@@ -107,7 +114,6 @@
 		return;
 	event_del(&s->write);
 	snipe_buffer_finish(&s->unsent);
-	snipe_buffer_init(&s->unsent);
 	s->sent_len = 0;
 	s->ops->drained(s->arg);
 }
@@ -126,8 +132,15 @@
 	event_add(&s->read, NULL);
 }
 
+void snipe_h1_stream_set_account(struct snipe_h1_stream *s,
+				 struct snipe_memory_account *account)
+{
+	s->account = s->unread.account = s->unsent.account = account;
+}
+
 void snipe_h1_stream_finish(struct snipe_h1_stream *s)
 {
+	snipe_memory_update(s->account, &s->charged, 0);
 	event_del(&s->read);
 	event_del(&s->write);
 	close(s->fd);
@@ -150,6 +163,20 @@
 	event_add(&s->write, NULL);
 }
 
+void snipe_h1_stream_send_buffer(struct snipe_h1_stream *s, struct snipe_buffer *buf)
+{
+	size_t n;
+
+	if (snipe_h1_stream_unsent(s) > 0) {
+		snipe_h1_stream_send(s, buf->data, buf->len);
+	} else if ((n = hand_over(s, buf->data, buf->len)) < buf->len) {
+		snipe_buffer_move(buf, &s->unsent);
+		s->sent_len = n;
+		event_add(&s->write, NULL);
+	}
+	snipe_buffer_finish(buf);
+}
+
 size_t snipe_h1_stream_unsent(const struct snipe_h1_stream *s)
 {
 	return s->unsent.len - s->sent_len;
--- a/libs/h1/stream.h
+++ b/libs/h1/stream.h
@@ -13,6 +13,7 @@
 #include <sys/types.h>
 
 #include "base/buffer.h"
+#include "base/memory_account.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -20,6 +21,9 @@
 
 struct event_base;
 
+/* Input that the kernel keeps for a stream that does not receive, at most; for listeners. */
+#define SNIPE_H1_STREAM_WINDOW_BYTES (64 * 1024)
+
 struct snipe_h1_stream_ops {
 	/* Bytes were received. Returns how many of them were consumed, or -1 if it finished the
 	 * stream. */
@@ -40,17 +44,26 @@
 	struct snipe_buffer unsent;
 	size_t sent_len; /* bytes of unsent that the kernel has taken */
 	int is_reading;	 /* received is on the stack */
+	struct snipe_memory_account *account;
+	size_t charged; /* for input that the kernel keeps while nothing is received */
 };
 
 /* Takes over the socket, which must be non-blocking, and starts to receive. */
 void snipe_h1_stream_init(struct snipe_h1_stream *s, struct event_base *base, int fd,
 			  const struct snipe_h1_stream_ops *ops, void *arg);
+/* Charges what the stream keeps to an account, which must stay valid. While its limit is
+ * exceeded, nothing is received. Call it before the first turn of the loop. */
+void snipe_h1_stream_set_account(struct snipe_h1_stream *s,
+				 struct snipe_memory_account *account);
 /* Closes the socket; unsent output is lost. */
 void snipe_h1_stream_finish(struct snipe_h1_stream *s);
 
 /* Sends bytes, or keeps those that the kernel does not take. An error of the connection is
  * reported by ended, later. */
 void snipe_h1_stream_send(struct snipe_h1_stream *s, const char *data, size_t len);
+/* The same with the content of a buffer, which is empty afterwards; a large one is not copied.
+ */
+void snipe_h1_stream_send_buffer(struct snipe_h1_stream *s, struct snipe_buffer *buf);
 /* Number of bytes that were sent and that the kernel has not taken. */
 size_t snipe_h1_stream_unsent(const struct snipe_h1_stream *s);
 /* Number of bytes that were sent and that the peer has not acknowledged. Where the kernel does
--- a/programs/snipescaled/main.c
+++ b/programs/snipescaled/main.c
@@ -5,6 +5,7 @@
  * settings, 2 for wrong arguments, 3 if the node could not start.
  */
 #include <glib.h>
+#include <malloc.h>
 #include <stdio.h>
 
 #include "base/error.h"
@@ -13,6 +14,10 @@
 #include "node/node.h"
 #include "platform.h"
 
+/* Larger blocks are given back to the kernel when they are freed. The allocator would raise the
+ * bound by itself, up to 32 MB. */
+#define MAPPED_BLOCK_BYTES (128 * 1024)
+
 enum exit_status { EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, EXIT_START };
 
 static char *config_path;
@@ -83,6 +88,7 @@
 	static struct snipe_settings settings;
 	struct snipe_error_text err;
 
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
 	if (!parse_arguments(argc, argv))
 		return EXIT_USAGE;
 	if (show_version) {
--- a/tests/adapter/settings_test.cc
+++ b/tests/adapter/settings_test.cc
@@ -159,3 +159,18 @@
 			  0)
 			<< wrong;
 }
+
+TEST(AdapterSettings, MemoryOfTheProcess)
+{
+	SettingsFile f;
+
+	ASSERT_EQ(f.load(EXAMPLE), 0);
+	EXPECT_EQ(f.s.max_memory_bytes, 0u) << "not stated";
+	ASSERT_EQ(f.load_with({"limits"}, R"({"memory-mb": 260})"), 0) << f.err.text;
+	EXPECT_EQ(f.s.max_memory_bytes, 260u * 1024 * 1024);
+	for (const char *wrong : {"0", "-5", "\"many\"", "1e12"})
+		EXPECT_LT(f.load_with({"limits"},
+				      (std::string("{\"memory-mb\": ") + wrong + "}").c_str()),
+			  0)
+			<< wrong;
+}
--- a/tests/h1/server_test.cc
+++ b/tests/h1/server_test.cc
@@ -507,3 +507,99 @@
 	ASSERT_TRUE(t.loop.until([&] { return t.open.count("/2"); }));
 	EXPECT_EQ(snipe_h1_accept_wait_us(t.open.at("/2")), 0);
 }
+
+namespace
+{
+
+// A server whose clients may have it hold 300,000 bytes.
+struct BoundedServer : Server {
+	struct snipe_memory_limit memory;
+	struct event *enforce;
+
+	BoundedServer()
+	{
+		enforce = event_new(
+			loop.base, -1, 0,
+			[](evutil_socket_t, short, void *arg) {
+				snipe_memory_limit_enforce(
+					&static_cast<BoundedServer *>(arg)->memory,
+					snipe_now_us());
+			},
+			this);
+		snipe_memory_limit_init(
+			&memory, 300000,
+			[](void *arg) {
+				event_active(static_cast<BoundedServer *>(arg)->enforce, 0, 0);
+			},
+			this);
+		snipe_h1_server_set_memory_limit(&s, &memory);
+	}
+	~BoundedServer()
+	{
+		event_free(enforce);
+	}
+};
+
+std::string unfinished(const std::string &url)
+{
+	return "POST " + url + " HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\n" +
+	       std::string(89999, 'x');
+}
+
+} // namespace
+
+TEST(H1Server, ForLackOfMemoryTheOldestUnfinishedBodyIsRefusedAsNotRun)
+{
+	BoundedServer t;
+	std::vector<Socket> clients;
+
+	for (int i = 0; i < 4; i++) {
+		clients.push_back(Socket::connect_to(t.address));
+		clients.back().send_text(unfinished("/" + std::to_string(i)));
+		t.loop.run_ms(20);
+	}
+	ASSERT_TRUE(t.loop.until([&] { return clients[0].has("\r\n\r\n"); }));
+	EXPECT_EQ(clients[0].in.compare(0, 13, "HTTP/1.1 503 "), 0) << clients[0].in;
+	EXPECT_TRUE(clients[0].has("Retry-After: 1\r\n"));
+	EXPECT_TRUE(clients[0].has("Connection: close\r\n"));
+	EXPECT_LE(t.memory.account.held, 300000u);
+	Socket small = Socket::connect_to(t.address);
+	small.send_text(get("/small"));
+	ASSERT_TRUE(t.wait_for_open(1));
+	t.answer("/small", "ok");
+	EXPECT_TRUE(t.loop.until([&] { return small.has("ok"); }));
+	clients[3].send_text("x");
+	EXPECT_TRUE(t.wait_for_open(1)) << "the newest body is served";
+}
+
+TEST(H1Server, ForLackOfMemoryAnAnswerThatIsNotReadEndsItsConnection)
+{
+	BoundedServer t;
+	Socket slow = Socket::connect_to(t.address), other = Socket::connect_to(t.address);
+
+	slow.send_text(get("/slow"));
+	other.send_text(get("/other"));
+	ASSERT_TRUE(t.wait_for_open(2));
+	t.answer("/slow", std::string(20000000, 'y'));
+	ASSERT_TRUE(t.loop.until([&] { return t.s.connection_count == 1; }));
+	t.answer("/other", "ok");
+	EXPECT_TRUE(t.loop.until([&] { return other.has("ok"); }));
+}
+
+TEST(H1Server, AllMemoryIsReleasedWithTheConnections)
+{
+	BoundedServer t;
+	{
+		Socket a = Socket::connect_to(t.address), b = Socket::connect_to(t.address);
+
+		a.send_text(get("/a") + get("/b") + unfinished("/c"));
+		b.send_text(get("/d"));
+		ASSERT_TRUE(t.wait_for_open(3));
+		t.answer("/b", std::string(1000, 'y'));
+		t.answer("/d", "ok");
+		ASSERT_TRUE(t.loop.until([&] { return b.has("ok"); }));
+		EXPECT_GT(t.memory.account.held, 90000u);
+	}
+	EXPECT_TRUE(t.loop.until([&] { return t.s.connection_count == 0; }));
+	EXPECT_EQ(t.memory.account.held, 0u);
+}
