h1 server: requests that stop within their body end, and make room near the limit of connections

Callers saw: a node that answers no readiness check, takes in no notice of its server, or accepts no client, for as long as others keep their connections open. Cause: only the head of a request had a time limit, and a connection with an unfinished body is not idle, so that it stayed for ever and was never closed for others. Change: a body has 20 s and a second for each 500 bytes that have come, then 408. Near the limit of connections, incomplete requests without progress for a second get 408, the longest silent first. A client that takes nothing of its answers for 30 s is cut off.

--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -180,11 +180,13 @@
 			    "snipescale_client_connections_max %d\n"
 			    "snipescale_client_connections_accepted_total %llu\n"
 			    "snipescale_client_connections_closed_idle_total %llu\n"
+			    "snipescale_client_requests_timed_out_total %llu\n"
 			    "snipescale_client_accept_us_total %lld\n"
 			    "snipescale_client_read_us_total %lld\n",
 			    s->connection_count, s->limits.max_connections,
 			    (unsigned long long)s->accepted_count,
 			    (unsigned long long)s->closed_idle_count,
+			    (unsigned long long)s->timed_out_count,
 			    (long long)s->accept_time_us, (long long)s->read_time_us);
 }
 
--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -37,11 +37,19 @@
 /* When the client of a request that was given up for lack of memory may come back. */
 #define NO_MEMORY_RETRY_AFTER "1"
 
+#define DEFAULT_BODY_TIMEOUT_US 20000000
+#define DEFAULT_SEND_TIMEOUT_US 30000000
+/* Lowest rate of a body beyond its timeout. */
+#define BODY_MIN_BYTES_PER_S 500
+/* Shortly before the limit of connections, an incomplete request without progress for this long
+ * makes room for others. */
+#define UNFINISHED_MAX_US 1000000
+
 struct snipe_h1_connection {
 	struct snipe_h1_server *server;
 	LIST_ENTRY(snipe_h1_connection) entry;
 	TAILQ_ENTRY(snipe_h1_connection) idle_entry;
-	struct snipe_h1_idle *idle_list; /* NULL: not idle */
+	struct snipe_h1_idle *idle_list; /* NULL: neither idle nor with an incomplete request */
 	int is_new;			 /* its first request may be on the way */
 	int64_t accept_wait_us;		 /* how long it waited to be accepted, at most */
 	int is_rejected;		 /* no request of it was admitted, or not the last */
@@ -209,6 +217,13 @@
 	       snipe_h1_stream_unsent(&c->stream) == 0;
 }
 
+/* Whether there is nothing but a request that is not complete. */
+static int is_unfinished(const struct snipe_h1_connection *c)
+{
+	return c->reading && c->read_since_us && !c->first && !c->linger_until_us &&
+	       snipe_h1_stream_unsent(&c->stream) == 0;
+}
+
 static void update_held(struct snipe_h1_connection *c, int64_t now)
 {
 	if (c->account.held < SNIPE_MEMORY_SMALL_BYTES)
@@ -224,7 +239,8 @@
 
 	if (c->idle_list)
 		TAILQ_REMOVE(c->idle_list, c, idle_entry);
-	c->idle_list = !is_idle(c)	? NULL
+	c->idle_list = is_unfinished(c) ? &s->unfinished
+		       : !is_idle(c)	? NULL
 		       : c->is_rejected ? &s->idle_rejected
 					: &s->idle_served;
 	if (c->idle_list)
@@ -241,6 +257,11 @@
 	update_idle(c);
 }
 
+static int needs_room(const struct snipe_h1_server *s)
+{
+	return !has_room(s, s->limits.max_connections / FREE_CONNECTIONS_RATIO);
+}
+
 /* Shortly before the limit, closes the idle connection that is needed least. A request that
  * crosses this is not read, so its client may send it again. */
 static void make_room(struct snipe_h1_server *s)
@@ -249,7 +270,7 @@
 
 	if (!c)
 		c = TAILQ_FIRST(&s->idle_served);
-	if (!c || has_room(s, s->limits.max_connections / FREE_CONNECTIONS_RATIO))
+	if (!c || !needs_room(s))
 		return;
 	s->closed_idle_count++;
 	begin_lingering_close(c);
@@ -461,6 +482,7 @@
 	struct snipe_h1_connection *c = arg;
 
 	c->last_active_us = snipe_now_us();
+	c->progress_us = 0;
 	if (c->is_read_closed && !c->first && !c->linger_until_us)
 		begin_lingering_close(c);
 	update_held(c, c->last_active_us);
@@ -554,14 +576,15 @@
 	s->accept_time_us += snipe_now_us() - start;
 }
 
-/* Whether the client of a connection that ends has received nothing for too long. */
-static int is_stalled(struct snipe_h1_connection *c, size_t unreceived, int64_t now)
+/* Whether the client has received nothing of its responses for too long. */
+static int is_stalled(struct snipe_h1_connection *c, size_t unreceived, int64_t now,
+		      int64_t timeout_us)
 {
 	if (!c->progress_us || unreceived != c->unreceived) {
 		c->unreceived = unreceived;
 		c->progress_us = now;
 	}
-	return now - c->progress_us >= STALL_TIMEOUT_US;
+	return now - c->progress_us >= timeout_us;
 }
 
 /* Closes a connection that ends, once its client has the last response or takes nothing of it
@@ -573,10 +596,18 @@
 	if (c->linger_until_us && now < c->linger_until_us)
 		return;
 	unreceived = snipe_h1_stream_unreceived(&c->stream);
-	if (unreceived == 0 || is_stalled(c, unreceived, now))
+	if (unreceived == 0 || is_stalled(c, unreceived, now, STALL_TIMEOUT_US))
 		close_connection(c);
 }
 
+static int is_body_late(const struct snipe_h1_connection *c, int64_t now)
+{
+	int64_t len = c->reading ? (int64_t)c->reading->message.body.len : 0;
+
+	return now - c->read_since_us - c->server->body_timeout_us >
+	       len * 1000000 / BODY_MIN_BYTES_PER_S;
+}
+
 static void check_timeouts(struct snipe_h1_connection *c, int64_t now)
 {
 	const struct snipe_h1_limits *l = &c->server->limits;
@@ -588,14 +619,34 @@
 	}
 	if (c->is_read_closed && !c->first) {
 		continue_close(c, now);
-	} else if (c->read_since_us && !c->parser.has_head &&
-		   now - c->read_since_us > l->head_timeout_us) {
+	} else if (snipe_h1_stream_unsent(&c->stream) > 0 &&
+		   is_stalled(c, snipe_h1_stream_unreceived(&c->stream), now,
+			      c->server->send_timeout_us)) {
+		close_connection(c);
+	} else if (c->read_since_us &&
+		   (c->parser.has_head ? is_body_late(c, now)
+				       : now - c->read_since_us > l->head_timeout_us)) {
+		c->server->timed_out_count++;
 		respond_error(c, 408);
 	} else if (is_idle(c) && now - c->last_active_us > l->idle_timeout_us) {
 		begin_lingering_close(c);
 	}
 }
 
+/* Shortly before the limit of connections, refuses requests that are incomplete and make no
+ * progress. */
+static void refuse_unfinished(struct snipe_h1_server *s, int64_t now)
+{
+	struct snipe_h1_connection *next;
+
+	for (struct snipe_h1_connection *c = TAILQ_FIRST(&s->unfinished);
+	     c && needs_room(s) && now - c->last_active_us > UNFINISHED_MAX_US; c = next) {
+		next = TAILQ_NEXT(c, idle_entry);
+		s->timed_out_count++;
+		respond_error(c, 408);
+	}
+}
+
 static void on_timeout_check(evutil_socket_t fd, short what, void *arg)
 {
 	struct snipe_h1_server *s = arg;
@@ -609,6 +660,7 @@
 		check_timeouts(c, now);
 	}
 	make_room(s);
+	refuse_unfinished(s, now);
 	update_accepting(s);
 }
 
@@ -649,8 +701,11 @@
 	s->base = base;
 	s->ops = ops;
 	s->arg = arg;
+	s->body_timeout_us = DEFAULT_BODY_TIMEOUT_US;
+	s->send_timeout_us = DEFAULT_SEND_TIMEOUT_US;
 	TAILQ_INIT(&s->idle_rejected);
 	TAILQ_INIT(&s->idle_served);
+	TAILQ_INIT(&s->unfinished);
 	s->is_accepting = 1;
 	snipe_address_format(listen, text);
 	if (size <= 0)
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -71,17 +71,24 @@
 	int64_t head_timeout_us;
 	int64_t idle_timeout_us;
 	/* 0: no limit. Shortly before it is reached, idle connections are closed, those first
-	 * that had no request or a rejected one, then the least recently used. At the limit,
-	 * no connections are accepted. */
+	 * that had no request or a rejected one, then the least recently used; then those whose
+	 * request has been incomplete without progress for a while. At the limit, no
+	 * connections are accepted. */
 	int max_connections;
 	/* Above this number, the connection of a rejected request ends with the response. 0: no
 	 * limit. */
 	int scarce_connections;
 };
 
-/* Fields are private except for limits, which may be changed at any time. */
+/* Fields are private except for limits and timeouts, which may be changed at any time. */
 struct snipe_h1_server {
 	struct snipe_h1_limits limits;
+	/* A body may take this long, and a second more for each 500 bytes that have arrived;
+	 * then it is answered with 408. At first 20 s. */
+	int64_t body_timeout_us;
+	/* A connection whose client takes nothing of its responses for this long is closed. At
+	 * first 30 s. */
+	int64_t send_timeout_us;
 	struct event_base *base;
 	int is_listening;
 	int fd;
@@ -95,9 +102,13 @@
 	/* Idle connections, the least recently used first: those whose last request was
 	 * rejected or that had none, and the others. */
 	TAILQ_HEAD(snipe_h1_idle, snipe_h1_connection) idle_rejected, idle_served;
+	/* Connections with nothing but an incomplete request, the least recently active first.
+	 */
+	struct snipe_h1_idle unfinished;
 	int connection_count;
 	int is_accepting;
 	uint64_t closed_idle_count; /* closed for the limit, since the start */
+	uint64_t timed_out_count;   /* requests that did not arrive in time, since the start */
 	uint64_t accepted_count;    /* connections, since the start */
 	int64_t accept_time_us;	    /* spent accepting connections, since the start */
 	int64_t read_time_us;	    /* spent reading requests, callbacks included */
--- a/tests/h1/server_test.cc
+++ b/tests/h1/server_test.cc
@@ -598,8 +598,91 @@
 		t.answer("/b", std::string(1000, 'y'));
 		t.answer("/d", "ok");
 		ASSERT_TRUE(t.loop.until([&] { return b.has("ok"); }));
-		EXPECT_GT(t.memory.account.held, 90000u);
+		EXPECT_TRUE(t.loop.until([&] { return t.memory.account.held > 90000; }));
 	}
 	EXPECT_TRUE(t.loop.until([&] { return t.s.connection_count == 0; }));
 	EXPECT_EQ(t.memory.account.held, 0u);
 }
+
+TEST(H1Server, ABodyThatStopsOrDripsTimesOutAndOneAtTheLowestRateDoesNot)
+{
+	Server t;
+	Socket stopped = Socket::connect_to(t.address), steady = Socket::connect_to(t.address);
+
+	t.s.body_timeout_us = 1000000;
+	for (Socket *c : {&stopped, &steady})
+		c->send_text("POST /" + std::string(c == &steady ? "steady" : "stopped") +
+			     " HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\nxx");
+	steady.send_text(std::string(89000, 'x'));
+	ASSERT_TRUE(t.loop.until([&] { return stopped.has("\r\n\r\n"); }));
+	EXPECT_EQ(stopped.in.compare(0, 13, "HTTP/1.1 408 "), 0) << stopped.in;
+	EXPECT_EQ(t.s.timed_out_count, 1u);
+	t.loop.run_ms(1000);
+	steady.send_text(std::string(998, 'x'));
+	EXPECT_TRUE(t.wait_for_open(1));
+}
+
+TEST(H1Server, AConnectionWhoseClientTakesNothingEndsAndOneThatReadsSlowlyDoesNot)
+{
+	Server t;
+	Socket stopped = Socket::connect_to(t.address), slow = Socket::connect_to(t.address);
+	char some[200000];
+
+	t.s.send_timeout_us = 1500000;
+	stopped.send_text(get("/stopped"));
+	slow.send_text(get("/slow"));
+	ASSERT_TRUE(t.wait_for_open(2));
+	t.answer("/stopped", std::string(30000000, 'y'));
+	t.answer("/slow", std::string(30000000, 'y'));
+	for (int i = 0; i < 30; i++) {
+		ASSERT_GT(recv(slow.fd, some, sizeof(some), 0), 0);
+		t.loop.run_ms(100);
+	}
+	EXPECT_EQ(t.s.connection_count, 1) << "the slow one stays";
+}
+
+// The same number of bytes may be on the way of two responses, long after each other.
+TEST(H1Server, AnEarlierResponseSaysNothingAboutTheProgressOfALaterOne)
+{
+	Server t;
+	Socket c = Socket::connect_to(t.address);
+	std::string body(30000000, 'y');
+
+	t.s.send_timeout_us = 1500000;
+	for (int i = 0; i < 2; i++) {
+		c.in.clear();
+		c.send_text(get("/x"));
+		ASSERT_TRUE(t.wait_for_open(1));
+		t.answer("/x", body);
+		t.loop.run_ms(700);
+		ASSERT_TRUE(t.loop.until([&] {
+			c.pump();
+			return c.in.size() > body.size() || c.eof || c.reset;
+		}));
+		ASSERT_GT(c.in.size(), body.size()) << "response " << i;
+		t.loop.run_ms(1700);
+	}
+}
+
+TEST(H1Server, NearTheLimitRequestsThatStoppedMakeRoomForOthers)
+{
+	Server t;
+	std::vector<Socket> stopped;
+
+	t.s.limits.max_connections = 8;
+	for (int i = 0; i < 20; i++) {
+		stopped.push_back(Socket::connect_to(t.address));
+		stopped.back().send_text(
+			"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nx");
+	}
+	Socket other = Socket::connect_to(t.address);
+	other.send_text(get("/other"));
+	ASSERT_TRUE(t.loop.until([&] {
+		for (auto &c : stopped)
+			c.pump();
+		return t.open.size() == 1;
+	}));
+	t.answer("/other", "ok");
+	EXPECT_TRUE(t.loop.until([&] { return other.has("ok"); }));
+	EXPECT_EQ(stopped[0].in.compare(0, 13, "HTTP/1.1 408 "), 0) << stopped[0].in;
+}
