gate: what is held for a server and its answers is bounded over all calls

Callers saw: while many clients ask for long answers and read them slowly, or a server never finishes its answers, the node beside the server is killed at the memory of its machine, and all requests that it carries end. Cause: answers of a server are read at full speed, each bounded at 8 MB and nothing over all; the bodies of waiting calls were kept in the same way. Change: the calls of a gate are holders of the process's memory account: a waiting one is given up as not run, one that runs as unknown, which goes to another server if it may be repeated. A large body is passed on only if there is room for the copies in which it travels; otherwise a call is rejected as not run and an answer replaced by a failure.

--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -62,6 +62,7 @@
 	char *request_id;      /* empty: not sent by the client */
 	struct evbuffer *head; /* request line and fields, without the final empty line */
 	struct evbuffer *body;
+	size_t charged; /* for head and body, until the call is sent */
 	uint64_t fingerprint;
 	uint64_t route;			 /* hash of its name */
 	int is_profiled;		 /* counted by the profile as running */
@@ -171,6 +172,7 @@
 	if (call->has_origin)
 		g_hash_table_remove(g->calls_by_origin, &call->origin);
 	event_del(&call->timer);
+	snipe_memory_update(g->pool.account, &call->charged, 0);
 	g->calls->pdata[call->handle] = NULL;
 	g->in_flight--;
 	evbuffer_free(call->head);
@@ -412,6 +414,13 @@
 		snipe_peer_reply(g->config.peers, &to, &m, r->body.data, r->body.len);
 }
 
+/* Whether there is room for a body as it is passed on: in a message, and on its way out. */
+static int has_room_for_copies(const struct snipe_gate *g, size_t body_len)
+{
+	return body_len < SNIPE_MEMORY_SMALL_BYTES ||
+	       snipe_memory_has_room(g->pool.account, 2 * body_len);
+}
+
 static void on_response(struct snipe_gate_call *call, const struct snipe_h1_message *r)
 {
 	struct snipe_gate *g = call->gate;
@@ -428,6 +437,8 @@
 		fail_and_start_next(call, SNIPE_ANSWER_NOT_RUN, SNIPE_GATE_SERVER_REJECTED, 1);
 	} else if ((fault = response_fault(g, r)) != NULL) {
 		fail_and_start_next(call, SNIPE_ANSWER_UNKNOWN, fault, 1);
+	} else if (!has_room_for_copies(g, r->body.len)) {
+		fail_and_start_next(call, SNIPE_ANSWER_UNKNOWN, SNIPE_GATE_NO_MEMORY, 1);
 	} else {
 		reply_response(call, r);
 	}
@@ -536,6 +547,7 @@
 	set_timer(call, call->deadline_us + DEADLINE_GRACE_US);
 	call->is_profiled = 1;
 	snipe_call_profile_start(g->config.profile, now, call->route);
+	snipe_memory_update(g->pool.account, &call->charged, 0);
 	call->http = snipe_h1_call_start(&g->pool, call->head, call->is_head, &http_ops, call);
 }
 
@@ -625,6 +637,8 @@
 	call->body = evbuffer_new();
 	evbuffer_add(call->body, body, body_len);
 	build_head(call, m, body_len);
+	snipe_memory_update(g->pool.account, &call->charged,
+			    evbuffer_get_length(call->head) + body_len);
 	event_assign(&call->timer, g->config.base, -1, 0, on_timer, call);
 	call->handle = allocate_handle(g);
 	g->calls->pdata[call->handle] = call;
@@ -671,6 +685,8 @@
 		reason = SNIPE_GATE_CRASH_SUSPECT;
 	if (!reason && was_stalled(g, now))
 		reason = SNIPE_GATE_EXPIRED;
+	if (!reason && !has_room_for_copies(g, body_len))
+		reason = SNIPE_GATE_NO_MEMORY;
 	if (reason)
 		fail_call(call, SNIPE_ANSWER_NOT_RUN, reason, 0);
 	else
@@ -839,6 +855,39 @@
 	snipe_counters_set(g->config.counters, g->gauge_limit, gate_limit(g));
 }
 
+static double find_worst_call(void *arg, int64_t now_us)
+{
+	struct snipe_gate *g = arg;
+	double most = 0;
+
+	for (guint i = 0; i < g->calls->len; i++) {
+		struct snipe_gate_call *call = g->calls->pdata[i];
+		size_t held;
+		double cost;
+
+		if (!call)
+			continue;
+		held = call->charged + (call->http ? snipe_h1_call_held(call->http) : 0);
+		cost = snipe_memory_cost(held, call->received_us, now_us);
+		if (cost > most) {
+			most = cost;
+			g->worst = call;
+		}
+	}
+	return most;
+}
+
+static void give_up_worst_call(void *arg)
+{
+	struct snipe_gate *g = arg;
+	int has_started = g->worst->started_us != 0;
+
+	fail_and_start_next(g->worst, has_started ? SNIPE_ANSWER_UNKNOWN : SNIPE_ANSWER_NOT_RUN,
+			    SNIPE_GATE_NO_MEMORY, has_started);
+}
+
+static const struct snipe_memory_holder_ops holder_ops = {find_worst_call, give_up_worst_call};
+
 static void init_counters(struct snipe_gate *g)
 {
 	struct snipe_counters *c = g->config.counters;
@@ -864,6 +913,10 @@
 	snipe_work_queue_init(&g->queue);
 	snipe_h1_pool_init(&g->pool, config->base);
 	snipe_h1_pool_set_address(&g->pool, &config->settings->backend_server);
+	if (config->memory) {
+		g->pool.account = &config->memory->account;
+		snipe_memory_limit_add(config->memory, &g->holder, &holder_ops, g);
+	}
 	g->ticked_us = g->recent_at_us = snipe_now_us();
 	g->calls = g_ptr_array_new();
 	g->strikes = g_array_new(FALSE, FALSE, sizeof(struct snipe_strike));
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -11,6 +11,7 @@
 
 #include "base/counters.h"
 #include "base/histogram.h"
+#include "base/memory_limit.h"
 #include "core/call_profile.h"
 #include "core/crash_guard.h"
 #include "core/departure.h"
@@ -30,6 +31,7 @@
 #define SNIPE_GATE_OVERLOADED "overloaded"
 #define SNIPE_GATE_NO_SERVER "no_backend_server"
 #define SNIPE_GATE_NO_SOCKET "no_socket"
+#define SNIPE_GATE_NO_MEMORY "no_memory"
 #define SNIPE_GATE_DRAINING "draining"
 #define SNIPE_GATE_EXPIRED "expired"
 #define SNIPE_GATE_CRASH_SUSPECT "crash_suspect"
@@ -47,6 +49,7 @@
 	struct snipe_counters *counters;
 	struct snipe_crash_guard *guard;
 	struct snipe_call_profile *profile;
+	struct snipe_memory_limit *memory; /* NULL: no limit */
 	/* Called when the server became usable or unusable, or a trial crashed it: other nodes
 	 * need a new report at once. */
 	void (*changed)(void *arg);
@@ -71,6 +74,8 @@
 	int max_connections; /* limit in the tables; 0: none */
 	struct snipe_work_queue queue;
 	struct snipe_h1_pool pool;
+	struct snipe_memory_holder holder;
+	struct snipe_gate_call *worst;	  /* of all calls, as last found by the holder */
 	double service_us;		  /* mean run time of calls; 0: no response yet */
 	double recent_calls, recent_full; /* calls that came in, and those that were rejected
 					     for lack of slots; decaying sums */
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -805,6 +805,7 @@
 		.counters = &g->counters,
 		.guard = &g->guard,
 		.profile = &g->profile,
+		.memory = &g->memory,
 		.changed = on_gate_changed,
 		.departed = on_gate_departed,
 		.arg = g,
--- a/libs/h1/pool.c
+++ b/libs/h1/pool.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/memory_account.h"
 #include "base/socket.h"
 
 /* Limits of responses: four times the header section allowed in client requests, and the
@@ -29,6 +30,7 @@
 	unsigned generation;
 	int is_connected;
 	int64_t idle_until_us;
+	size_t charged;	       /* for bytes in transit */
 	int64_t keep_alive_us; /* from the Keep-Alive field; 0: none received */
 };
 
@@ -53,10 +55,22 @@
 	g_queue_init(&p->idle);
 }
 
+static size_t buffered_bytes(const struct snipe_h1_client_connection *c)
+{
+	return evbuffer_get_length(bufferevent_get_input(c->bev)) +
+	       evbuffer_get_length(bufferevent_get_output(c->bev));
+}
+
+static void update_charge(struct snipe_h1_client_connection *c)
+{
+	snipe_memory_update(c->pool->account, &c->charged, buffered_bytes(c));
+}
+
 static void free_connection(struct snipe_h1_client_connection *c)
 {
 	struct snipe_h1_pool *p = c->pool;
 
+	snipe_memory_update(p->account, &c->charged, 0);
 	LIST_REMOVE(c, entry);
 	p->connection_count--;
 	if (!c->call)
@@ -156,6 +170,7 @@
 	}
 	call->connection = NULL;
 	c->call = NULL;
+	update_charge(c);
 	c->idle_until_us = snipe_now_us() + limit;
 	g_queue_push_tail(&p->idle, c);
 }
@@ -193,8 +208,10 @@
 		result = snipe_h1_parser_feed(&call->parser, piece.iov_base, piece.iov_len,
 					      &consumed);
 		evbuffer_drain(in, consumed);
-		if (result == SNIPE_H1_NEED_MORE)
+		if (result == SNIPE_H1_NEED_MORE) {
+			update_charge(c);
 			continue;
+		}
 		if (result != SNIPE_H1_DONE) {
 			close_call_connection(call);
 			end_call(call, result == SNIPE_H1_BODY_LIMIT ? SNIPE_H1_TOO_LARGE
@@ -295,7 +312,7 @@
 	call->ops = ops;
 	call->arg = arg;
 	call->is_head = is_head;
-	snipe_h1_message_init(&call->response);
+	snipe_h1_message_init_charged(&call->response, p->account);
 	event_assign(&call->deferred, p->base, -1, 0, on_deferred, call);
 	begin_response(call);
 	if (!c)
@@ -309,9 +326,18 @@
 		return call;
 	}
 	bufferevent_write_buffer(c->bev, request);
+	update_charge(c);
 	return call;
 }
 
+size_t snipe_h1_call_held(const struct snipe_h1_call *call)
+{
+	const struct snipe_h1_message *m = &call->response;
+
+	return m->url.size + m->text.size + m->body.size +
+	       (call->connection ? buffered_bytes(call->connection) : 0);
+}
+
 void snipe_h1_call_cancel(struct snipe_h1_call *call)
 {
 	close_call_connection(call);
--- a/libs/h1/pool.h
+++ b/libs/h1/pool.h
@@ -30,8 +30,11 @@
 	SNIPE_H1_TOO_LARGE,	/* the response body exceeds max_body_bytes */
 };
 
-/* Fields are private except for the limits. */
+/* Fields are private except for the limits and the account. */
 struct snipe_h1_pool {
+	/* Charged with what is on its way; to be set before the first call, and valid as long
+	 * as there are connections. NULL: none. */
+	struct snipe_memory_account *account;
 	int64_t idle_limit_us;	    /* idle connections are not reused after this time */
 	int64_t connect_timeout_us; /* 0: no timeout */
 	size_t max_body_bytes;
@@ -71,6 +74,8 @@
 struct snipe_h1_call *snipe_h1_call_start(struct snipe_h1_pool *p, struct evbuffer *request,
 					  int is_head, const struct snipe_h1_call_ops *ops,
 					  void *arg);
+/* Bytes of the request that have not left, and of the response so far. */
+size_t snipe_h1_call_held(const struct snipe_h1_call *call);
 /* Frees the call and closes its connection; done is not called. */
 void snipe_h1_call_cancel(struct snipe_h1_call *call);
 
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -51,7 +51,9 @@
 	struct snipe_counters counters;
 	struct snipe_crash_guard guard;
 	struct snipe_call_profile profile;
+	struct snipe_memory_limit memory;
 	struct snipe_gate gate;
+	std::string request_body;
 	std::vector<std::unique_ptr<Socket>> connections;
 	std::vector<struct snipe_departure> departures;
 	int changes = 0;
@@ -76,6 +78,8 @@
 		config.counters = &counters;
 		config.guard = &guard;
 		config.profile = &profile;
+		snipe_memory_limit_init(&memory, 0, nullptr, nullptr);
+		config.memory = &memory;
 		config.changed = [](void *arg) { static_cast<Gate *>(arg)->changes++; };
 		config.departed = [](void *arg, const struct snipe_departure *d) {
 			static_cast<Gate *>(arg)->departures.push_back(*d);
@@ -120,8 +124,9 @@
 		m.u.call.is_trial = is_trial;
 		m.u.call.headers[0] = {{"Id", 2}, {id, strlen(id)}};
 		m.u.call.header_count = 1;
-		return snipe_peer_request(&caller, snipe_peer_address(&own), &m, nullptr, 0,
-					  20000000, Answer::on_reply, &a);
+		return snipe_peer_request(&caller, snipe_peer_address(&own), &m,
+					  request_body.data(), request_body.size(), 20000000,
+					  Answer::on_reply, &a);
 	}
 	// Returns why a call is rejected if a departure is restored after a late announcement.
 	std::string rejection_after_restore(const struct snipe_departure &d)
@@ -893,3 +898,61 @@
 	call(next, true, "r3");
 	EXPECT_NE(wait_for_request(), nullptr) << "the server is still used";
 }
+
+TEST_F(Gate, ForLackOfMemoryALargeCallIsNotRunAndASmallOneIs)
+{
+	Answer large, small;
+
+	memory.account.limit = 300000;
+	snipe_memory_charge(&memory.account, 200000);
+	announce("i-1", SNIPE_SERVER_READY, 1);
+	request_body.assign(80000, 'x');
+	call(large);
+	ASSERT_TRUE(answered(large));
+	EXPECT_EQ(large.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(large.reason, SNIPE_GATE_NO_MEMORY);
+	EXPECT_EQ(large.arrived, 0);
+	EXPECT_EQ(memory.account.held, 200000u);
+	request_body.assign(800, 'x');
+	call(small);
+	Socket *s = wait_for_request();
+	ASSERT_TRUE(s);
+	respond(s);
+	ASSERT_TRUE(answered(small));
+	EXPECT_EQ(small.outcome, SNIPE_ANSWER_COMPLETE);
+}
+
+TEST_F(Gate, ForLackOfMemoryTheLongestHeldOfTheLargeAnswersIsGivenUp)
+{
+	Answer old, recent, small;
+
+	memory.account.limit = 200000;
+	announce("i-1", SNIPE_SERVER_READY, 1);
+	for (Answer *a : {&old, &recent}) {
+		call(*a, true, a == &old ? "old" : "recent");
+		Socket *s = wait_for_request();
+		ASSERT_TRUE(s);
+		s->in.clear();
+		s->send_text("HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: "
+			     "90001\r\n\r\n" +
+			     std::string(90000, 'y'));
+		ASSERT_TRUE(loop.until(
+			[&] { return memory.account.held > (a == &old ? 90000u : 180000u); }));
+	}
+	call(small, true, "small");
+	Socket *s = wait_for_request();
+	ASSERT_TRUE(s);
+	snipe_memory_limit_enforce(&memory, snipe_now_us());
+	ASSERT_TRUE(answered(old));
+	EXPECT_EQ(old.outcome, SNIPE_ANSWER_UNKNOWN) << "the server may have run it";
+	EXPECT_EQ(old.reason, SNIPE_GATE_NO_MEMORY);
+	EXPECT_EQ(old.arrived, 1);
+	respond(s);
+	ASSERT_TRUE(answered(small));
+	// Room for the copies in which the other one is passed on.
+	memory.account.limit = 400000;
+	connections[1]->send_text("y");
+	ASSERT_TRUE(answered(recent));
+	EXPECT_EQ(recent.body.size(), 90001u);
+	EXPECT_EQ(memory.account.held, 0u);
+}
