peer links: what is held for other nodes is bounded over all links

Callers saw: while another node does not run or does not take in what it is sent, the node that sends to it is killed at the memory of its machine, as by anyone who opens connections to its port for nodes and sends less than a whole frame. Cause: each link kept up to 24 MB for its peer, and the same again in the output of its connection; a connection was read without a mark, before a greeting as well; the bodies of calls to the node itself were not counted. Change: links are holders of the process's memory account, by what their peers have not taken in since the last progress and by unfinished bodies. Messages are written as the connection takes them, so that they are kept once. Before a greeting a connection may send 4 KB, and 256 may be without one. A node passes a large body on only if there is room for its copies.

--- a/libs/core/session.c
+++ b/libs/core/session.c
@@ -20,6 +20,7 @@
 
 void snipe_session_finish(struct snipe_session *s)
 {
+	snipe_memory_release(s->account, s->unacked_bytes);
 	g_queue_clear_full(&s->unacked, free_message);
 }
 
@@ -37,6 +38,7 @@
 	if (!s->first_unwritten)
 		s->first_unwritten = s->unacked.tail;
 	s->unacked_bytes += len;
+	snipe_memory_charge(s->account, len);
 	return 0;
 }
 
@@ -89,6 +91,7 @@
 		g_queue_pop_head(&s->unacked);
 		s->acked = m->number;
 		s->unacked_bytes -= m->len;
+		snipe_memory_release(s->account, m->len);
 		free_message(m);
 	}
 	return 0;
--- a/libs/core/session.h
+++ b/libs/core/session.h
@@ -17,6 +17,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/memory_account.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -34,9 +36,10 @@
 	int may_have_left; /* bytes of it may have left on an earlier connection */
 };
 
-/* Fields are private. */
+/* Fields are private except for the account. */
 struct snipe_session {
-	uint64_t sent;	   /* number of the last message of this side */
+	struct snipe_memory_account *account; /* charged with what is kept; NULL: none */
+	uint64_t sent;			      /* number of the last message of this side */
 	uint64_t acked;	   /* the other side has taken in all up to this one */
 	uint64_t received; /* all up to this one were taken in from the other side */
 	uint64_t stated;   /* received, as last stated to the other side */
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -492,6 +492,16 @@
 		event_add(&call->hedge_timer, &tv);
 }
 
+/* Whether there is room for the body as it is sent: in a message, and on its way out. */
+static int has_room_for_copies(const struct snipe_entry_call *call)
+{
+	const struct snipe_memory_limit *memory = call->entry->config.memory;
+	size_t len = call->req->message.body.len;
+
+	return !memory || len < SNIPE_MEMORY_SMALL_BYTES ||
+	       snipe_memory_has_room(&memory->account, 2 * len);
+}
+
 static void on_hedge_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct snipe_entry_call *call = arg;
@@ -501,7 +511,7 @@
 	(void)what;
 	g_strlcpy(call->last_reason, "no_answer_yet", sizeof(call->last_reason));
 	/* The open attempt counts as one that reached its server and may have run. */
-	if (call->open_attempts != 1 || !may_retry(call, 0))
+	if (call->open_attempts != 1 || !has_room_for_copies(call) || !may_retry(call, 0))
 		return;
 	server = choose_server(call);
 	if (server < 0)
@@ -512,8 +522,14 @@
 
 void snipe_entry_call_start_attempt(struct snipe_entry_call *call)
 {
-	int server = choose_server(call);
+	int server;
 
+	if (!has_room_for_copies(call)) {
+		g_strlcpy(call->last_reason, SNIPE_GATE_NO_MEMORY, sizeof(call->last_reason));
+		end_failed_call(call);
+		return;
+	}
+	server = choose_server(call);
 	if (server < 0) {
 		if (call->attempt_count == 0)
 			g_strlcpy(call->last_reason, SNIPE_GATE_NO_SERVER,
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -785,6 +785,7 @@
 		.node_id = g->settings.node_id,
 		.process = process,
 		.secret = "",
+		.memory = &g->memory,
 	};
 	int ret = snipe_peer_task_init(&g->peers, &config, err);
 
--- a/libs/node/peer_conn.c
+++ b/libs/node/peer_conn.c
@@ -9,11 +9,38 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/memory_account.h"
 #include "base/socket.h"
 #include "wire/frame.h"
 
 /* A HELLO older than this is refused, so that a recorded one cannot be used later. */
 #define HELLO_MAX_AGE_MS 30000
+/* Larger than any HELLO: more is not read before the peer has greeted. */
+#define GREETING_MAX_BYTES 4096
+/* Input beyond a whole frame is left to the kernel. */
+#define INPUT_MAX_BYTES (SNIPE_FRAME_MAX_BYTES + SNIPE_FRAME_HEADER_BYTES)
+/* Output above which more is not to be written, and at which there is room again. */
+#define OUTPUT_HIGH_BYTES ((size_t)256 * 1024)
+#define OUTPUT_LOW_BYTES ((size_t)64 * 1024)
+
+static void update_charge(struct snipe_conn *c)
+{
+	snipe_memory_update(c->account, &c->charged,
+			    evbuffer_get_length(bufferevent_get_input(c->bev)) +
+				    evbuffer_get_length(bufferevent_get_output(c->bev)));
+}
+
+void snipe_conn_set_account(struct snipe_conn *c, struct snipe_memory_account *account)
+{
+	snipe_memory_update(c->account, &c->charged, 0);
+	c->account = account;
+	update_charge(c);
+}
+
+int snipe_conn_is_full(const struct snipe_conn *c)
+{
+	return evbuffer_get_length(bufferevent_get_output(c->bev)) > OUTPUT_HIGH_BYTES;
+}
 
 static void free_conn(struct snipe_conn *c)
 {
@@ -27,6 +54,7 @@
 	if (!c || c->is_closed)
 		return;
 	c->is_closed = 1;
+	snipe_conn_set_account(c, NULL);
 	bufferevent_disable(c->bev, EV_READ | EV_WRITE);
 	if (!c->is_reading)
 		free_conn(c);
@@ -38,6 +66,7 @@
 	if (c->is_closed)
 		return;
 	c->is_closed = 1;
+	snipe_conn_set_account(c, NULL);
 	bufferevent_disable(c->bev, EV_READ | EV_WRITE);
 	c->ops->closed(c->arg, c, cause, was_refused);
 	if (!c->is_reading)
@@ -48,6 +77,7 @@
 {
 	bufferevent_write(c->bev, frame, len);
 	c->queued_bytes += len;
+	update_charge(c);
 }
 
 void snipe_conn_write_message(struct snipe_conn *c, const struct snipe_message *msg)
@@ -111,6 +141,7 @@
 		return SNIPE_ERR_SYNTAX;
 	ret = check_hello(c, &msg->u.hello);
 	c->has_greeted = ret == 0;
+	bufferevent_setwatermark(c->bev, EV_READ, 0, INPUT_MAX_BYTES);
 	return ret == 0 ? c->ops->greeted(c->arg, c, &msg->u.hello) : ret;
 }
 
@@ -141,7 +172,9 @@
 		evbuffer_copyout(in, head, sizeof(head));
 		size = snipe_frame_peek(head, evbuffer_get_length(in));
 		if (size == SNIPE_ERR_TRUNCATED)
-			return 0;
+			return c->has_greeted || evbuffer_get_length(in) < GREETING_MAX_BYTES
+				       ? 0
+				       : SNIPE_ERR_AUTH;
 		if (size > 0)
 			size = read_frame(c, in, size);
 		if (size < 0)
@@ -162,6 +195,18 @@
 		free_conn(c);
 	else if (err < 0)
 		end_conn(c, snipe_error_name(err), 0);
+	else
+		update_charge(c);
+}
+
+static void on_written(struct bufferevent *bev, void *arg)
+{
+	struct snipe_conn *c = arg;
+
+	(void)bev;
+	update_charge(c);
+	if (c->ops->drained)
+		c->ops->drained(c->arg, c);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
@@ -198,7 +243,9 @@
 	c->next_number = 1;
 	snipe_buffer_init(&c->scratch);
 	c->bev = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
-	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
+	bufferevent_setcb(c->bev, on_read, on_written, on_event, c);
+	bufferevent_setwatermark(c->bev, EV_READ, 0, GREETING_MAX_BYTES);
+	bufferevent_setwatermark(c->bev, EV_WRITE, OUTPUT_LOW_BYTES, 0);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 	return c;
 }
--- a/libs/node/peer_conn.h
+++ b/libs/node/peer_conn.h
@@ -32,6 +32,8 @@
 	 * closes the connection. */
 	int (*received)(void *arg, struct snipe_conn *c, const struct snipe_message *msg,
 			const void *payload, size_t len);
+	/* There is room for more output. May be NULL. */
+	void (*drained)(void *arg, struct snipe_conn *c);
 	/* The connection ended and is freed after the call. was_refused: the peer's kernel
 	 * answered that nobody listens. */
 	void (*closed)(void *arg, struct snipe_conn *c, const char *cause, int was_refused);
@@ -43,6 +45,8 @@
 	void *arg;
 	const struct snipe_conn_identity *identity;
 	struct bufferevent *bev;
+	struct snipe_memory_account *account;
+	size_t charged; /* for bytes in transit */
 	struct snipe_buffer scratch;
 	int is_connected; /* readable */
 	int has_greeted;  /* readable: the peer's HELLO was verified */
@@ -62,6 +66,10 @@
 struct snipe_conn *snipe_conn_accept(struct event_base *base,
 				     const struct snipe_conn_identity *identity, int fd,
 				     const struct snipe_conn_ops *ops, void *arg);
+/* Charges bytes in transit to an account, which must stay valid; NULL: to none. */
+void snipe_conn_set_account(struct snipe_conn *c, struct snipe_memory_account *account);
+/* Whether more is to be written only after drained was called. */
+int snipe_conn_is_full(const struct snipe_conn *c);
 /* Ends a connection without calling closed. NULL is ignored. */
 void snipe_conn_close(struct snipe_conn *c);
 /* Sends HELLO. session, received and is_known are as in struct snipe_msg_hello. */
--- a/libs/node/peer_link.c
+++ b/libs/node/peer_link.c
@@ -6,6 +6,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "base/memory_limit.h"
 #include "node/peer_message.h"
 #include "wire/frame.h"
 
@@ -22,6 +23,8 @@
 #define STATE_AFTER_US 2000000
 #define STATE_WITH_OTHERS_US 250000
 #define STATE_AFTER_BYTES (128 * 1024)
+/* A link that keeps less for its peer is in use as usual. */
+#define USUAL_BYTES ((size_t)1024 * 1024)
 
 /* A request that waits for its reply. */
 struct request {
@@ -33,9 +36,10 @@
 
 /* A CALL or ANSWER whose body has not arrived whole. */
 struct assembly {
-	char *payload; /* copy of the first frame: the decoded message points into it */
+	struct snipe_buffer payload; /* copy of the first frame: the message points into it */
 	struct snipe_decoded decoded;
 	struct snipe_buffer body;
+	int64_t started_us;
 };
 
 static void free_assembly(void *p)
@@ -44,7 +48,7 @@
 
 	snipe_decoded_finish(&a->decoded);
 	snipe_buffer_finish(&a->body);
-	g_free(a->payload);
+	snipe_buffer_finish(&a->payload);
 	g_free(a);
 }
 
@@ -55,6 +59,13 @@
 	return link->is_outgoing ? text : "";
 }
 
+/* The peer has taken in all messages up to a number. */
+static int acknowledge(struct snipe_link *link, uint64_t number)
+{
+	link->progress_us = snipe_now_us();
+	return snipe_session_acknowledge(&link->session, MAX(number, link->session.acked));
+}
+
 static void write_received(struct snipe_link *link)
 {
 	struct snipe_message msg;
@@ -93,7 +104,10 @@
 
 	if (!is_writable(link))
 		return;
-	while ((m = snipe_session_next(&link->session, link->conn->queued_bytes)) != NULL) {
+	/* What a peer without sessions was sent counts as acknowledged: it has to be written.
+	 */
+	while ((!link->session_id || !snipe_conn_is_full(link->conn)) &&
+	       (m = snipe_session_next(&link->session, link->conn->queued_bytes)) != NULL) {
 		link->config->counts.resent += m->may_have_left;
 		snipe_conn_write(link->conn, m->data, m->len);
 	}
@@ -121,6 +135,8 @@
 	if (msg->type == SNIPE_MSG_ANSWER)
 		g_hash_table_remove(link->open_calls, GUINT_TO_POINTER(msg->stream));
 	snipe_peer_set_body(msg, body, body_len);
+	if (link->session.unacked_bytes == 0)
+		link->progress_us = snipe_now_us();
 	ret = push(link, msg);
 	memset(&part, 0, sizeof(part));
 	part.type = SNIPE_MSG_BODY;
@@ -189,8 +205,7 @@
 	id = req->id;
 	/* The peer replies to what it has taken in. */
 	if (reply)
-		snipe_session_acknowledge(&link->session,
-					  MAX(req->last_number, link->session.acked));
+		acknowledge(link, req->last_number);
 	g_hash_table_remove(link->requests, GUINT_TO_POINTER(stream));
 	link->config->ops->request_ended(link->config->arg, id, err, reply, body, body_len);
 }
@@ -309,10 +324,12 @@
 {
 	struct assembly *a = g_new0(struct assembly, 1);
 
-	a->payload = g_memdup2(payload, len);
-	snipe_buffer_init(&a->body);
-	if (snipe_message_decode(a->payload, len, &a->decoded) < 0) {
-		g_free(a->payload);
+	a->started_us = snipe_now_us();
+	snipe_buffer_init_charged(&a->payload, &link->account);
+	snipe_buffer_init_charged(&a->body, &link->account);
+	snipe_buffer_append(&a->payload, payload, len);
+	if (snipe_message_decode(a->payload.data, len, &a->decoded) < 0) {
+		snipe_buffer_finish(&a->payload);
 		g_free(a);
 		return;
 	}
@@ -396,8 +413,7 @@
 		snipe_conn_write_message(c, &pong);
 		return 0;
 	case SNIPE_MSG_ACK:
-		return snipe_session_acknowledge(&link->session,
-						 MAX(msg->u.ack.received, link->session.acked));
+		return acknowledge(link, msg->u.ack.received);
 	default:
 		break;
 	}
@@ -409,6 +425,7 @@
 {
 	link->next = snipe_conn_connect(link->config->base, &link->config->identity,
 					&link->address, &snipe_link_conn_ops, link);
+	snipe_conn_set_account(link->next, &link->account);
 	snipe_conn_greet(link->next, link->session_id, link->session.received, 1);
 	link->next->next_number = link->next->stated + 1;
 	snipe_link_watch_tried(&link->watch, now_us);
@@ -485,13 +502,40 @@
 		open_next(link, now);
 }
 
-const struct snipe_conn_ops snipe_link_conn_ops = {on_greeted, on_received, on_closed};
+static void on_drained(void *arg, struct snipe_conn *c)
+{
+	struct snipe_link *link = arg;
+
+	if (c == link->conn)
+		write_messages(link);
+}
+
+const struct snipe_conn_ops snipe_link_conn_ops = {on_greeted, on_received, on_drained,
+						   on_closed};
+
+double snipe_link_cost(const struct snipe_link *link, int64_t now_us)
+{
+	size_t kept = link->session.unacked_bytes + (link->conn ? link->conn->charged : 0);
+	double cost =
+		kept > USUAL_BYTES ? snipe_memory_cost(kept, link->progress_us, now_us) : 0;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, link->assemblies);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct assembly *a = value;
+
+		cost += snipe_memory_cost(a->body.size, a->started_us, now_us);
+	}
+	return cost;
+}
 
 /* Opens the first connection, whose messages follow the HELLO at once. */
 static void open_first(struct snipe_link *link)
 {
 	link->conn = snipe_conn_connect(link->config->base, &link->config->identity,
 					&link->address, &snipe_link_conn_ops, link);
+	snipe_conn_set_account(link->conn, &link->account);
 	snipe_conn_greet(link->conn, link->session_id, 0, 0);
 }
 
@@ -500,11 +544,13 @@
 	struct snipe_link *link = g_new0(struct snipe_link, 1);
 
 	link->config = config;
-	link->used_us = snipe_now_us();
+	link->used_us = link->progress_us = snipe_now_us();
+	snipe_memory_account_init(&link->account, config->account);
 	link->requests = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	link->open_calls = g_hash_table_new(NULL, NULL);
 	link->assemblies = g_hash_table_new_full(NULL, NULL, NULL, free_assembly);
 	snipe_session_init(&link->session);
+	link->session.account = &link->account;
 	snipe_link_watch_init(&link->watch, link->used_us);
 	return link;
 }
@@ -540,6 +586,7 @@
 	memcpy(link->node_id, hello->node_id, sizeof(link->node_id));
 	c->ops = &snipe_link_conn_ops;
 	c->arg = link;
+	snipe_conn_set_account(c, &link->account);
 	snipe_conn_greet(c, link->session_id, 0, 1);
 	return link;
 }
@@ -558,6 +605,7 @@
 	link->lost_us = 0;
 	c->ops = &snipe_link_conn_ops;
 	c->arg = link;
+	snipe_conn_set_account(c, &link->account);
 	snipe_conn_greet(c, link->session_id, link->session.received, 1);
 	snipe_session_state_received(&link->session);
 	c->next_number = c->stated + 1;
--- a/libs/node/peer_link.h
+++ b/libs/node/peer_link.h
@@ -52,6 +52,7 @@
 	struct snipe_conn_identity identity;
 	const struct snipe_link_ops *ops;
 	void *arg;
+	struct snipe_memory_account *account; /* of the process; NULL: none */
 	struct snipe_link_counts counts;
 	struct snipe_buffer scratch;
 };
@@ -65,6 +66,8 @@
 	char node_id[SNIPE_NAME_SIZE]; /* readable; of the peer, empty before its HELLO */
 	uint64_t peer_process;	       /* 0 before its HELLO */
 	uint64_t session_id;	       /* readable; 0: the peer knows no sessions */
+	struct snipe_memory_account account; /* of all that is held for the peer */
+	int64_t progress_us; /* when the peer last took in messages, or there were none */
 	struct snipe_session session;
 	struct snipe_link_watch watch;
 	struct snipe_conn *conn; /* the present connection; NULL: none */
@@ -111,6 +114,9 @@
 void snipe_link_send(struct snipe_link *link, struct snipe_message *msg, const char *body,
 		     size_t body_len);
 
+/* What the link costs that is held for the peer, see snipe_memory_cost. */
+double snipe_link_cost(const struct snipe_link *link, int64_t now_us);
+
 /* Checks the connection soon, also if no answer is awaited. */
 void snipe_link_demand_check(struct snipe_link *link, int64_t now_us);
 /* Does what is due; call it every few tens of milliseconds. The link may end. */
--- a/libs/node/peer_local.c
+++ b/libs/node/peer_local.c
@@ -8,9 +8,7 @@
 
 /* A message from the node to itself, kept encoded because its strings belong to the sender. */
 struct local_message {
-	struct snipe_buffer frame;
-	char *body;
-	size_t body_len;
+	struct snipe_buffer frame, body;
 };
 
 static void deliver(struct snipe_peer_local *l, const struct local_message *lm)
@@ -20,7 +18,7 @@
 	if (snipe_message_decode(lm->frame.data + SNIPE_FRAME_HEADER_BYTES,
 				 lm->frame.len - SNIPE_FRAME_HEADER_BYTES, &d) < 0)
 		return;
-	l->ops->received(l->arg, &d.message, lm->body, lm->body_len);
+	l->ops->received(l->arg, &d.message, lm->body.data, lm->body.len);
 	snipe_decoded_finish(&d);
 }
 
@@ -29,7 +27,7 @@
 	struct local_message *lm = p;
 
 	snipe_buffer_finish(&lm->frame);
-	g_free(lm->body);
+	snipe_buffer_finish(&lm->body);
 	g_free(lm);
 }
 
@@ -61,19 +59,23 @@
 		msg->u.call.chunk.len = 0;
 	else if (msg->type == SNIPE_MSG_ANSWER)
 		msg->u.answer.chunk.len = 0;
-	snipe_buffer_init(&lm->frame);
+	snipe_buffer_init_charged(&lm->frame, l->account);
+	snipe_buffer_init_charged(&lm->body, l->account);
 	snipe_message_encode(msg, &lm->frame);
-	lm->body = g_memdup2(body, body_len);
-	lm->body_len = body_len;
+	if (body_len)
+		snipe_buffer_reserve(&lm->body, body_len);
+	snipe_buffer_append(&lm->body, body, body_len);
 	g_queue_push_tail(&l->messages, lm);
 	event_active(l->wake, 0, 0);
 }
 
 void snipe_peer_local_init(struct snipe_peer_local *l, struct event_base *base,
+			   struct snipe_memory_account *account,
 			   const struct snipe_peer_local_ops *ops, void *arg)
 {
 	l->ops = ops;
 	l->arg = arg;
+	l->account = account;
 	g_queue_init(&l->messages);
 	l->wake = event_new(base, -1, 0, on_wake, l);
 }
--- a/libs/node/peer_local.h
+++ b/libs/node/peer_local.h
@@ -25,11 +25,14 @@
 struct snipe_peer_local {
 	const struct snipe_peer_local_ops *ops;
 	void *arg;
+	struct snipe_memory_account *account; /* charged with the messages */
 	GQueue messages;
 	struct event *wake;
 };
 
+/* The account, which must stay valid, is charged with what was posted and not delivered. */
 void snipe_peer_local_init(struct snipe_peer_local *l, struct event_base *base,
+			   struct snipe_memory_account *account,
 			   const struct snipe_peer_local_ops *ops, void *arg);
 void snipe_peer_local_finish(struct snipe_peer_local *l);
 /* Copies a message and its body, to be delivered later. */
--- a/libs/node/peer_task.c
+++ b/libs/node/peer_task.c
@@ -13,6 +13,9 @@
 #define TICK_US 50000
 /* An accepted connection without HELLO is closed after this time. */
 #define GREETING_MAX_US 10000000
+/* Most connections without HELLO; beyond it the oldest one is closed. Nodes of a whole fleet
+ * may connect at once, and greet at once. */
+#define UNGREETED_MAX 256
 /* All links are checked after a silent one was found, at most once in this time. */
 #define CHECK_INTERVAL_US 250000
 /* Handle of the node itself as the origin of a message. */
@@ -306,7 +309,7 @@
 			g_hash_table_insert(t->by_session, &link->session_id, link);
 	}
 	if (link && ret == 0)
-		g_ptr_array_remove_fast(t->accepted, c);
+		g_ptr_array_remove(t->accepted, c);
 	return ret;
 }
 
@@ -330,23 +333,26 @@
 
 	(void)cause;
 	(void)was_refused;
-	g_ptr_array_remove_fast(t->accepted, c);
+	g_ptr_array_remove(t->accepted, c);
 }
 
 static const struct snipe_conn_ops accepted_ops = {on_accepted_greeted, on_accepted_received,
-						   on_accepted_closed};
+						   NULL, on_accepted_closed};
 
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
 		      int len, void *arg)
 {
 	struct snipe_peer_task *t = arg;
+	struct snipe_conn *c = snipe_conn_accept(
+		t->links_config.base, &t->links_config.identity, fd, &accepted_ops, t);
 
 	(void)l;
 	(void)sa;
 	(void)len;
-	g_ptr_array_add(t->accepted,
-			snipe_conn_accept(t->links_config.base, &t->links_config.identity, fd,
-					  &accepted_ops, t));
+	snipe_conn_set_account(c, t->links_config.account);
+	g_ptr_array_add(t->accepted, c);
+	if (t->accepted->len > UNGREETED_MAX)
+		snipe_conn_close(g_ptr_array_steal_index(t->accepted, 0));
 }
 
 /* The listener stays readable after a failure, such as for lack of descriptors, and is tried
@@ -372,7 +378,7 @@
 
 		if (now_us - c->opened_us > GREETING_MAX_US) {
 			snipe_conn_close(c);
-			g_ptr_array_remove_index_fast(t->accepted, i);
+			g_ptr_array_remove_index(t->accepted, i);
 		}
 	}
 }
@@ -396,6 +402,32 @@
 	t->is_accept_paused = 0;
 }
 
+static double find_worst_link(void *arg, int64_t now_us)
+{
+	struct snipe_peer_task *t = arg;
+	double most = 0;
+
+	for (guint i = 0; i < t->links->len; i++) {
+		struct snipe_link *link = g_ptr_array_index(t->links, i);
+		double cost = link ? snipe_link_cost(link, now_us) : 0;
+
+		if (cost > most) {
+			most = cost;
+			t->worst = link;
+		}
+	}
+	return most;
+}
+
+static void give_up_worst_link(void *arg)
+{
+	struct snipe_peer_task *t = arg;
+
+	snipe_link_end(t->worst, "no_memory");
+}
+
+static const struct snipe_memory_holder_ops holder_ops = {find_worst_link, give_up_worst_link};
+
 static int open_listener(struct snipe_peer_task *t, const struct snipe_address *listen,
 			 struct snipe_error_text *err)
 {
@@ -446,7 +478,11 @@
 	t->by_session = g_hash_table_new(g_int64_hash, g_int64_equal);
 	t->requests = g_hash_table_new(NULL, NULL);
 	t->local_requests = g_hash_table_new(NULL, NULL);
-	snipe_peer_local_init(&t->local, config->base, &local_ops, t);
+	if (config->memory) {
+		t->links_config.account = &config->memory->account;
+		snipe_memory_limit_add(config->memory, &t->holder, &holder_ops, t);
+	}
+	snipe_peer_local_init(&t->local, config->base, t->links_config.account, &local_ops, t);
 	t->tick = event_new(config->base, -1, EV_PERSIST, on_tick, t);
 	event_add(t->tick, &tick);
 	return 0;
--- a/libs/node/peer_task.h
+++ b/libs/node/peer_task.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "base/address.h"
+#include "base/memory_limit.h"
 #include "node/peer_link.h"
 #include "node/peer_local.h"
 #include "wire/message.h"
@@ -70,6 +71,8 @@
 	GHashTable *by_session; /* session id -> incoming link */
 	GPtrArray *accepted;	/* connections whose HELLO has not come */
 	GHashTable *requests;	/* request id -> open request */
+	struct snipe_memory_holder holder;
+	struct snipe_link *worst; /* of all links, as last found by the holder */
 	struct snipe_peer_local local;
 	GHashTable *local_requests; /* stream -> open request to the node itself */
 	uint32_t local_stream;
@@ -83,7 +86,8 @@
 	struct snipe_address listen;
 	const char *node_id;
 	uint64_t process;
-	const char *secret; /* must stay valid */
+	const char *secret;		   /* must stay valid */
+	struct snipe_memory_limit *memory; /* NULL: no limit */
 };
 
 /* Listens. Returns 0 or SNIPE_ERR_IO with the remedy in err. */
--- a/tests/node/peer_task_test.cc
+++ b/tests/node/peer_task_test.cc
@@ -40,6 +40,7 @@
 
 struct Node {
 	struct snipe_peer_task task;
+	struct snipe_memory_limit memory;
 	std::vector<struct snipe_peer_origin> calls;
 	std::vector<std::string> bodies;
 	int cancels = 0;
@@ -55,6 +56,8 @@
 		config.node_id = id;
 		config.process = 1;
 		config.secret = secret;
+		snipe_memory_limit_init(&memory, 0, nullptr, nullptr);
+		config.memory = &memory;
 		EXPECT_EQ(snipe_peer_task_init(&task, &config, &err), 0);
 		snipe_peer_on(&task, SNIPE_MSG_CALL, on_call, this);
 		snipe_peer_on(&task, SNIPE_MSG_CANCEL, on_cancel, this);
@@ -62,6 +65,13 @@
 	~Node()
 	{
 		snipe_peer_task_finish(&task);
+		EXPECT_EQ(memory.account.held, 0u);
+	}
+	// Bounds what is held for others, now.
+	void enforce(size_t limit)
+	{
+		memory.account.limit = limit;
+		snipe_memory_limit_enforce(&memory, snipe_now_us());
 	}
 	// The only link that has a connection.
 	struct snipe_link *link() const
@@ -385,3 +395,108 @@
 	a.reset();
 	EXPECT_TRUE(run_until([&] { return b.cancels == 1; })) << "nobody waits any more";
 }
+
+namespace
+{
+
+int connect_to(const struct snipe_address *to)
+{
+	struct sockaddr_storage ss;
+	int len = snipe_address_to_sockaddr(to, &ss), fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	EXPECT_EQ(connect(fd, (struct sockaddr *)&ss, (socklen_t)len), 0);
+	return fd;
+}
+
+} // namespace
+
+TEST_F(PeerTask, AConnectionThatSendsMoreThanAGreetingBeforeItIsClosed)
+{
+	Node a(base, "a", "s");
+	int fd = connect_to(snipe_peer_address(&a.task));
+	std::string frame("\x00\x0f\xff\xff", 4);
+
+	frame.append(100000, 'x');
+	ASSERT_GT(send(fd, frame.data(), frame.size(), MSG_NOSIGNAL), 0);
+	EXPECT_TRUE(run_until([&] {
+		char byte;
+		ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT);
+		return n == 0 || (n < 0 && errno == ECONNRESET);
+	}));
+	EXPECT_LT(a.memory.account.held, 8192u);
+	close(fd);
+}
+
+TEST_F(PeerTask, OfManyConnectionsWithoutAGreetingTheOldestAreClosed)
+{
+	Node a(base, "a", "s"), b(base, "b", "s");
+	std::vector<int> fds;
+	Reply r;
+
+	for (int i = 0; i < 300; i++) {
+		fds.push_back(connect_to(snipe_peer_address(&a.task)));
+		event_base_loop(base, EVLOOP_NONBLOCK);
+	}
+	ASSERT_TRUE(run_until([&] {
+		char byte;
+		return recv(fds[0], &byte, 1, MSG_DONTWAIT) == 0;
+	}));
+	EXPECT_LE(a.task.accepted->len, 256u);
+	b.call(snipe_peer_address(&a.task), "hello", &r);
+	EXPECT_TRUE(run_until([&] { return r.count == 1; }));
+	EXPECT_EQ(r.body, "hello");
+	for (int fd : fds)
+		close(fd);
+}
+
+TEST_F(PeerTask, ForLackOfMemoryTheLinkOfAPeerThatTakesNothingInEnds)
+{
+	Node b(base, "b", "s"), other(base, "c", "s");
+	Reply stuck, served;
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in sin = {};
+	socklen_t len = sizeof(sin);
+	struct snipe_address silent;
+
+	sin.sin_family = AF_INET;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ASSERT_EQ(bind(listener, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	ASSERT_EQ(listen(listener, 4), 0);
+	getsockname(listener, (struct sockaddr *)&sin, &len);
+	snipe_address_from_sockaddr((struct sockaddr *)&sin, &silent);
+	b.call(&silent, std::string(6000000, 'x'), &stuck);
+	b.call(snipe_peer_address(&other.task), "hello", &served);
+	ASSERT_TRUE(run_until([&] { return served.count == 1; }));
+	EXPECT_GT(b.memory.account.held, 6000000u);
+	EXPECT_LT(b.memory.account.held, 7000000u) << "kept once";
+	b.enforce(4000000);
+	EXPECT_EQ(stuck.count, 1);
+	EXPECT_NE(stuck.err, 0);
+	EXPECT_LT(b.memory.account.held, 100000u);
+	b.call(snipe_peer_address(&other.task), "hello", &served);
+	EXPECT_TRUE(run_until([&] { return served.count == 2; })) << "the other link stays";
+	EXPECT_EQ(other.task.links->len, 1u);
+	close(listener);
+}
+
+TEST_F(PeerTask, ForLackOfMemoryAnUnfinishedBodyOfAPeerIsGivenUp)
+{
+	Node a(base, "a", "s"), b(base, "b", "s");
+	Reply cut, served;
+
+	a.call(snipe_peer_address(&b.task), std::string(8000000, 'x'), &cut);
+	ASSERT_TRUE(run_until([&] {
+		struct snipe_link *l = b.link();
+		return l && g_hash_table_size(l->assemblies) == 1 &&
+		       b.memory.account.held > 1000000;
+	}));
+	b.enforce(500000);
+	EXPECT_EQ(b.memory.account.held, 0u);
+	ASSERT_TRUE(run_until([&] { return cut.count == 1; }));
+	EXPECT_EQ(cut.err, SNIPE_ERR_UNKNOWN);
+	EXPECT_TRUE(b.calls.empty());
+	b.memory.account.limit = 0;
+	a.call(snipe_peer_address(&b.task), "hello", &served);
+	EXPECT_TRUE(run_until([&] { return served.count == 1; }));
+	EXPECT_EQ(served.body, "hello");
+}
