--- a/tests/node/control_task_test.cc
+++ b/tests/node/control_task_test.cc
@@ -211,8 +211,8 @@
 			n->settings.seed_count = 1;
 		}
 		snipe_counters_init(&n->counters);
-		struct snipe_peer_config peer = {base, n->settings.peer_listen, id.c_str(),
-						 ++process, secret, nullptr};
+		struct snipe_peer_config peer = {
+			base, n->settings.peer_listen, id.c_str(), ++process, secret, nullptr};
 		ASSERT_EQ(snipe_peer_task_init(&n->peers, &peer, &err), 0) << err.text;
 		snipe_mailbox_init(&n->caller, base, TestNode::on_message, n.get());
 		snipe_mailbox_init(&n->backend, base, TestNode::on_message, n.get());
