answers of servers: a status code is three digits from 100 to 599

Callers saw: an answer with status 000 was passed over as if a final one followed, and the client waited out its time for 504; 099 the same; 600, 999 and HTTP/2.0 came through as they were, and 00200 as a success. Through the project's own interface 020, 600, 999 and -05 came through. Cause: http_parser takes any number of digits and any version, evhttp any number but 0, and nothing checked them. Evidence: Gate.AnInvalidOrIncompleteResponse (000: timeout), H1Message.AResponseNeedsAStatusCode, CallPath.AResponseWithAnInvalidStatusCode (020, 600, 999, -05 passed on): red without the change. Change: the parser of the gateway's path checks version and code of the status line (RFC 9112, section 4; RFC 9110, section 15), the client of the own interface the range; such an answer is malformed, and what its request did is unknown: 502 at once, or another server if it may be repeated. Result: the three tests pass.

--- a/libs/h1/message.c
+++ b/libs/h1/message.c
@@ -1,5 +1,7 @@
 #include "h1/message.h"
 
+#include <ctype.h>
+#include <glib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -185,6 +187,22 @@
 	return count_head(p, len);
 }
 
+/* http_parser takes any number of digits for a status code, and any version. */
+static int has_valid_status_line(const struct snipe_h1_parser *p)
+{
+	const char *at = p->start, *end = p->start + p->start_len;
+
+	while (at < end && (*at == '\r' || *at == '\n'))
+		at++;
+	if (end - at < 8 || memcmp(at, "HTTP/1.", 7) != 0)
+		return 0;
+	at += 8;
+	while (at < end && *at == ' ')
+		at++;
+	return end - at >= 4 && *at >= '1' && *at <= '5' && isdigit((unsigned char)at[1]) &&
+	       isdigit((unsigned char)at[2]) && !isdigit((unsigned char)at[3]);
+}
+
 static int on_head(http_parser *parser)
 {
 	struct snipe_h1_parser *p = (struct snipe_h1_parser *)parser;
@@ -194,6 +212,8 @@
 	p->has_head = 1;
 	m->method = (int)parser->method;
 	m->status = parser->status_code;
+	if (parser->type == HTTP_RESPONSE && !has_valid_status_line(p))
+		return fail(p, SNIPE_H1_MALFORMED);
 	m->is_close_delimited = parser->type == HTTP_RESPONSE && !p->is_head_response &&
 				m->status >= 200 && m->status != 204 && m->status != 304 &&
 				!(parser->flags & F_CHUNKED) &&
@@ -263,6 +283,12 @@
 	if (p->result != SNIPE_H1_NEED_MORE || len == 0)
 		return p->result;
 	p->has_begun = 1;
+	if (p->start_len < sizeof(p->start)) {
+		size_t n = MIN(len, sizeof(p->start) - p->start_len);
+
+		memcpy(p->start + p->start_len, data, n);
+		p->start_len += n;
+	}
 	*consumed = http_parser_execute(&p->parser, &callbacks, data, len);
 	if (p->result == SNIPE_H1_NEED_MORE && HTTP_PARSER_ERRNO(&p->parser) != HPE_OK)
 		p->result = SNIPE_H1_MALFORMED;
--- a/libs/h1/message.h
+++ b/libs/h1/message.h
@@ -2,8 +2,10 @@
  * One HTTP/1.1 message with its whole body, and the parser that fills it.
  *
  * Header fields are stored unchanged and in order. A message is malformed if a field name is
- * not a token, or if it has two lengths, or a length together with chunked encoding. More than
- * SNIPE_H1_MAX_FIELDS fields exceed the limit of the header section.
+ * not a token, or if it has two lengths, or a length together with chunked encoding, or if the
+ * status code is not three digits from 100 to 599 (RFC 9112, section 4; RFC 9110, section 15),
+ * or the version not 1.x. More than SNIPE_H1_MAX_FIELDS fields exceed the limit of the header
+ * section.
  */
 #ifndef SNIPE_H1_MESSAGE_H
 #define SNIPE_H1_MESSAGE_H
@@ -19,6 +21,8 @@
 #endif
 
 #define SNIPE_H1_MAX_FIELDS 64
+/* What is kept of a response to check its status line: the version, spaces and the code. */
+#define SNIPE_H1_STATUS_LINE_BYTES 32
 
 struct snipe_h1_field {
 	uint32_t name, name_len; /* offsets into the text of the message */
@@ -27,7 +31,7 @@
 
 struct snipe_h1_message {
 	int method; /* enum http_method; requests only */
-	int status; /* responses only */
+	int status; /* responses only; from 100 to 599 */
 	int keep_alive;
 	int is_close_delimited; /* a response with neither length nor chunked encoding */
 	struct snipe_buffer url;
@@ -75,6 +79,8 @@
 	int has_begun;	      /* at least one byte was received */
 	int is_head_response; /* response to HEAD */
 	int is_in_value;
+	char start[SNIPE_H1_STATUS_LINE_BYTES]; /* first bytes of a response */
+	size_t start_len;
 	enum snipe_h1_parse_result result;
 };
 
--- a/libs/node/http_client.c
+++ b/libs/node/http_client.c
@@ -169,7 +169,8 @@
 		discard(c, conn);
 }
 
-/* Returns nonzero if the length of the body was stated, once, and all of it is there. */
+/* Returns nonzero if the status code is one (RFC 9110, section 15), the length of the body was
+ * stated, once, and all of it is there. */
 static int is_whole(const struct snipe_http_exchange *x, struct evhttp_request *response)
 {
 	const struct evkeyvalq *headers = evhttp_request_get_input_headers(response);
@@ -179,6 +180,8 @@
 	int lengths = snipe_http_count(headers, "Content-Length", &length);
 	int codings = snipe_http_count(headers, "Transfer-Encoding", &coding);
 
+	if (code < 100 || code > 599)
+		return 0;
 	if (x->is_head || code == 204 || code == 304)
 		return 1;
 	if (lengths + codings != 1)
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -435,6 +435,12 @@
 		{"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nok",
 		 SNIPE_GATE_RESPONSE_BROKEN, true},
 		{"rubbish\r\n\r\n", SNIPE_GATE_RESPONSE_BROKEN, false},
+		{"HTTP/1.1 000 x\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
+		 SNIPE_GATE_RESPONSE_BROKEN, false},
+		{"HTTP/1.1 00200 x\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
+		 SNIPE_GATE_RESPONSE_BROKEN, false},
+		{"HTTP/1.1 600 x\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
+		 SNIPE_GATE_RESPONSE_BROKEN, false},
 		{"", SNIPE_GATE_RESPONSE_LOST, true},
 	};
 
--- a/tests/h1/message_test.cc
+++ b/tests/h1/message_test.cc
@@ -131,6 +131,29 @@
 	EXPECT_EQ(snipe_h1_parser_end(&head.p), SNIPE_H1_MALFORMED);
 }
 
+TEST(H1Message, AResponseNeedsAStatusCodeOfThreeDigitsInRange)
+{
+	for (const char *line :
+	     {"HTTP/1.1 000 x",	 "HTTP/1.1 0 x",     "HTTP/1.1 00 x",	"HTTP/1.1 20 x",
+	      "HTTP/1.1 099 x",	 "HTTP/1.1 600 x",   "HTTP/1.1 999 x",	"HTTP/1.1 2000 x",
+	      "HTTP/1.1 0200 x", "HTTP/1.1 00200 x", "HTTP/1.1 -200 x", "HTTP/1.1 +200 x",
+	      "HTTP/1.1 2x0 x",	 "HTTP/1.1 x",	     "HTTP/1.1",	"HTTP/2.0 200 x",
+	      "HTTP/0.9 200 x",	 "http/1.1 200 x",   "HTTP/1.1 200x",	"HTTP/1.1  000 x"})
+		for (size_t step : {0, 1, 5}) {
+			Parse p(std::string(line) + "\r\nContent-Length: 2\r\n\r\nok", false,
+				false, step);
+			EXPECT_EQ(p.result, SNIPE_H1_MALFORMED) << line << " step " << step;
+		}
+	for (const char *line : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 599 x",
+				 "HTTP/1.1 299 ", "HTTP/1.1 404", "HTTP/1.1 500 5000"})
+		for (size_t step : {0, 1, 5}) {
+			Parse p(std::string(line) + "\r\nContent-Length: 2\r\n\r\nok", false,
+				false, step);
+			EXPECT_EQ(p.result, SNIPE_H1_DONE) << line << " step " << step;
+			EXPECT_EQ(p.m.status, atoi(line + 9));
+		}
+}
+
 TEST(H1Message, ResponseWithoutLengthIsDelimitedByClose)
 {
 	Parse r("HTTP/1.1 200 OK\r\nX: 1\r\n\r\nhello", false);
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -420,6 +420,28 @@
 	EXPECT_EQ(side.strikes, 0);
 }
 
+/* Guards against an answer whose status HTTP does not allow and that is passed on. */
+TEST_F(CallPath, AResponseWithAnInvalidStatusCodeIsNotPassedOn)
+{
+	for (const char *status : {"000", "020", "600", "999", "-05"}) {
+		std::string response = std::string("HTTP/1.1 ") + status +
+				       " x\r\nContent-Length: 4\r\n\r\nbody";
+		size_t before = server.seen.size();
+
+		server.handler = [&](evhttp_request *req) {
+			evhttp_connection *evcon = evhttp_request_get_connection(req);
+			int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(evcon));
+
+			ASSERT_GT(write(fd, response.data(), response.size()), 0);
+			shutdown(fd, SHUT_RDWR);
+		};
+		std::string r = Call("POST /charge", WithKey());
+		EXPECT_TRUE(Has(r, "HTTP/1.1 502 ")) << status << r;
+		EXPECT_TRUE(Has(r, "Snipe-Outcome: unknown")) << status << r;
+		EXPECT_EQ(server.seen.size(), before + 1) << "non-idempotent call ran again";
+	}
+}
+
 /* Guards against a non-idempotent request that is sent again after its bytes had left. */
 TEST_F(CallPath, DeathOfTheBackendServerIsUnknownAndStrikes)
 {
