entry: failures kept for a retry count as held; the limit follows the settings

A long failure of a server that is kept until another one has answered was not counted; without room for it, it is now passed on at once instead of a retry. A changed memory-mb takes effect with the reload, like the bounds. The test of the entry shows that a large body without room is rejected as not run, with its token given back, and a small one sent on (no test has a kept failure without room).

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -116,7 +116,8 @@
 	call->entry = e;
 	call->req = req;
 	snipe_buffer_init(&call->saved_failure);
-	snipe_buffer_init(&call->saved_failure_body);
+	snipe_buffer_init_charged(&call->saved_failure_body,
+				  e->config.memory ? &e->config.memory->account : NULL);
 	req->callback_data = call;
 	call->workspace = -1;
 	call->received_us = snipe_now_us();
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -248,6 +248,23 @@
 	snipe_placement_report(&a->call->pool->placement, a->server, snipe_now_us(), &load);
 }
 
+/* Whether there is room for copies of a body. */
+static int has_room(const struct snipe_entry_call *call, size_t bytes)
+{
+	const struct snipe_memory_limit *memory = call->entry->config.memory;
+
+	return !memory || bytes < SNIPE_MEMORY_SMALL_BYTES ||
+	       snipe_memory_has_room(&memory->account, bytes);
+}
+
+/* Whether there is room for the body as it is sent: in a message, and on its way out. */
+static int has_room_to_send(const struct snipe_entry_call *call)
+{
+	size_t len = call->req->message.body.len;
+
+	return len < SNIPE_MEMORY_SMALL_BYTES || has_room(call, 2 * len);
+}
+
 static void save_failure(struct snipe_entry_call *call, const struct snipe_message *reply,
 			 const char *body, size_t body_len)
 {
@@ -370,7 +387,7 @@
 	/* Retry only if the server fails more often than others or another attempt is open: a
 	 * request that fails on every server is at fault itself. */
 	if (answer->status >= 500 && call->route->idempotent &&
-	    (is_failing || call->open_attempts)) {
+	    (is_failing || call->open_attempts) && has_room(call, body_len)) {
 		save_failure(call, reply, body, body_len);
 		on_attempt_failed(call, "server_failed", 0, 1);
 		return;
@@ -492,16 +509,6 @@
 		event_add(&call->hedge_timer, &tv);
 }
 
-/* Whether there is room for the body as it is sent: in a message, and on its way out. */
-static int has_room_for_copies(const struct snipe_entry_call *call)
-{
-	const struct snipe_memory_limit *memory = call->entry->config.memory;
-	size_t len = call->req->message.body.len;
-
-	return !memory || len < SNIPE_MEMORY_SMALL_BYTES ||
-	       snipe_memory_has_room(&memory->account, 2 * len);
-}
-
 static void on_hedge_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct snipe_entry_call *call = arg;
@@ -511,7 +518,7 @@
 	(void)what;
 	g_strlcpy(call->last_reason, "no_answer_yet", sizeof(call->last_reason));
 	/* The open attempt counts as one that reached its server and may have run. */
-	if (call->open_attempts != 1 || !has_room_for_copies(call) || !may_retry(call, 0))
+	if (call->open_attempts != 1 || !has_room_to_send(call) || !may_retry(call, 0))
 		return;
 	server = choose_server(call);
 	if (server < 0)
@@ -524,7 +531,7 @@
 {
 	int server;
 
-	if (!has_room_for_copies(call)) {
+	if (!has_room_to_send(call)) {
 		g_strlcpy(call->last_reason, SNIPE_GATE_NO_MEMORY, sizeof(call->last_reason));
 		end_failed_call(call);
 		return;
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -539,6 +539,12 @@
 	begin_stop(arg, sig == SIGTERM ? "sigterm" : "sigint");
 }
 
+/* Part of the process's memory that may be held for others; 0: no limit. */
+static size_t max_held_bytes(const struct snipe_gateway_settings *s)
+{
+	return (size_t)(HELD_MEMORY_RATIO * (double)s->max_memory_bytes);
+}
+
 /* Applies the settings that can change while the node runs. */
 static void reload(struct gateway *g, const char *cause)
 {
@@ -566,6 +572,8 @@
 	g->settings.stop_grace_us = s.stop_grace_us;
 	g->settings.retry_ratio = s.retry_ratio;
 	g->settings.retry_slack = s.retry_slack;
+	g->settings.max_memory_bytes = s.max_memory_bytes;
+	g->memory.account.limit = max_held_bytes(&s);
 	snipe_log(SNIPE_LOG_INFO, "settings_reloaded", "cause=%s", cause);
 }
 
@@ -746,10 +754,9 @@
 
 static void init_memory(struct gateway *g)
 {
-	double most = HELD_MEMORY_RATIO * (double)g->settings.max_memory_bytes;
-
 	g->memory_exceeded = event_new(g->base, -1, 0, enforce_memory_limit, g);
-	snipe_memory_limit_init(&g->memory, (size_t)most, on_memory_exceeded, g);
+	snipe_memory_limit_init(&g->memory, max_held_bytes(&g->settings), on_memory_exceeded,
+				g);
 }
 
 static int init_servers(struct gateway *g, struct snipe_error_text *err)
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -32,6 +32,7 @@
 // The node under test, where requests enter, and two nodes beside backend servers, which the
 // test simulates.
 struct Entry : testing::Test {
+	struct snipe_memory_limit memory;
 	Loop loop;
 	struct snipe_peer_task own;
 	struct snipe_peer_task servers[2];
@@ -133,6 +134,8 @@
 		config.counters = &counters;
 		snipe_loop_lag_init(&lag);
 		config.lag = &lag;
+		snipe_memory_limit_init(&memory, 0, nullptr, nullptr);
+		config.memory = &memory;
 		ASSERT_EQ(snipe_entry_init(&entry, &config, &err), 0) << err.text;
 	}
 	void TearDown() override
@@ -772,3 +775,27 @@
 	EXPECT_GT(*delays.rbegin(), 1.5 * *delays.begin());
 	EXPECT_GT(*delays.begin(), 0);
 }
+
+TEST_F(Entry, ForLackOfMemoryALargeBodyIsRejectedAsNotRunAndASmallOneIsSentOn)
+{
+	std::string body(80000, 'x');
+
+	apply_default_tables();
+	memory.account.limit = 400000;
+	snipe_memory_charge(&memory.account, 250000);
+	double before = available_tokens();
+	Socket large = connect_and_send(
+		"/book/x", "Content-Length: " + std::to_string(body.size()) + "\r\n", "key1",
+		"POST");
+	large.send_text(body);
+	EXPECT_EQ(status(large), 503);
+	EXPECT_TRUE(large.has("Retry-After: "));
+	EXPECT_TRUE(large.has("no_memory"));
+	EXPECT_GE(available_tokens(), before) << "its token was given back";
+	EXPECT_TRUE(calls.empty());
+	Socket small = connect_and_send("/book/x", "", "key1", "POST");
+	ASSERT_TRUE(wait_for_calls(1));
+	reply(calls[0], SNIPE_ANSWER_COMPLETE);
+	EXPECT_EQ(status(small), 200);
+	snipe_memory_release(&memory.account, 250000);
+}
