memory limit: many small holders count as well

Callers saw: nothing yet; found by a test written for it. Who held under 64 KB was never given up, and 2,400 connections may hold 30 KB each. Change: only holders of under 8 KB are safe, and links of under 256 KB, which the connections that a machine may have can hold within the limit. Bodies are large, for the check of room for their copies, from 64 KB on as before.

--- a/libs/base/memory_limit.h
+++ b/libs/base/memory_limit.h
@@ -21,8 +21,10 @@
 extern "C" {
 #endif
 
-/* Less than this is never given up, in bytes. */
-#define SNIPE_MEMORY_SMALL_BYTES ((size_t)(64 * 1024))
+/* Less than this is never given up, in bytes: a request with a small body. */
+#define SNIPE_MEMORY_SMALL_BYTES ((size_t)(8 * 1024))
+/* Bodies from this size on, in bytes, are copied only while there is room for the copies. */
+#define SNIPE_MEMORY_LARGE_BYTES ((size_t)(64 * 1024))
 
 struct snipe_memory_holder_ops {
 	/* Finds what costs most of all that the holder has. Returns its cost, see
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -40,8 +40,8 @@
 	struct snipe_call_profile *profile;
 	struct snipe_route_costs *costs;
 	struct snipe_counters *counters;
-	const struct snipe_loop_lag *lag; /* of the event loop */
-	struct snipe_memory_limit *memory;
+	const struct snipe_loop_lag *lag;  /* of the event loop */
+	struct snipe_memory_limit *memory; /* NULL: no limit */
 };
 
 /* Fields are private. */
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -253,7 +253,7 @@
 {
 	const struct snipe_memory_limit *memory = call->entry->config.memory;
 
-	return !memory || bytes < SNIPE_MEMORY_SMALL_BYTES ||
+	return !memory || bytes < SNIPE_MEMORY_LARGE_BYTES ||
 	       snipe_memory_has_room(&memory->account, bytes);
 }
 
@@ -262,7 +262,7 @@
 {
 	size_t len = call->req->message.body.len;
 
-	return len < SNIPE_MEMORY_SMALL_BYTES || has_room(call, 2 * len);
+	return len < SNIPE_MEMORY_LARGE_BYTES || has_room(call, 2 * len);
 }
 
 static void save_failure(struct snipe_entry_call *call, const struct snipe_message *reply,
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -417,7 +417,7 @@
 /* Whether there is room for a body as it is passed on: in a message, and on its way out. */
 static int has_room_for_copies(const struct snipe_gate *g, size_t body_len)
 {
-	return body_len < SNIPE_MEMORY_SMALL_BYTES ||
+	return body_len < SNIPE_MEMORY_LARGE_BYTES ||
 	       snipe_memory_has_room(g->pool.account, 2 * body_len);
 }
 
--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -195,7 +195,7 @@
 	req->headers_len = out->len;
 	snipe_buffer_append(out, "\r\n", 2);
 	if (!r->is_head && has_body(r->status) && r->body_len) {
-		if (r->body_len > SNIPE_MEMORY_SMALL_BYTES)
+		if (r->body_len > SNIPE_MEMORY_LARGE_BYTES)
 			snipe_buffer_reserve(out, r->body_len + sizeof(CLOSE_HEADER));
 		snipe_buffer_append(out, r->body, r->body_len);
 	}
--- a/libs/node/peer_link.c
+++ b/libs/node/peer_link.c
@@ -24,7 +24,7 @@
 #define STATE_WITH_OTHERS_US 250000
 #define STATE_AFTER_BYTES (128 * 1024)
 /* A link that keeps less for its peer is in use as usual. */
-#define USUAL_BYTES ((size_t)1024 * 1024)
+#define USUAL_BYTES ((size_t)256 * 1024)
 
 /* A request that waits for its reply. */
 struct request {
--- a/tests/base/memory_limit_test.cc
+++ b/tests/base/memory_limit_test.cc
@@ -83,11 +83,11 @@
 
 	snipe_memory_limit_init(&l, 1000000, nullptr, nullptr);
 	Holder clients(&l);
-	for (int i = 0; i < 100; i++)
+	for (int i = 0; i < 200; i++)
 		clients.Add(SNIPE_MEMORY_SMALL_BYTES - 1, 0);
 	clients.Add(SNIPE_MEMORY_SMALL_BYTES, kSecond);
 	snipe_memory_limit_enforce(&l, kSecond);
-	EXPECT_EQ(clients.things.size(), 100u);
+	EXPECT_EQ(clients.things.size(), 200u);
 	EXPECT_EQ(l.given_up, 1u);
 }
 
--- a/tests/process/memory_bound_test.cc
+++ b/tests/process/memory_bound_test.cc
@@ -405,6 +405,19 @@
 	send_unfinished(chunks(kMaxBody, 8));
 }
 
+TEST_F(MemoryBound, UnfinishedSmallBodiesOnManyConnections)
+{
+	std::string body = chunks(30000, 6000);
+
+	node_descriptors = 4000;
+	start(kMemoryMb);
+	for (int i = 0; i < 20 * kCrowd; i++)
+		add_client(nodes[0]->at.outbound, "POST", "/put/x",
+			   "Transfer-Encoding: chunked\r\n", body);
+	run_crowd();
+	expect_bounded();
+}
+
 TEST_F(MemoryBound, BodiesOverTheLimit)
 {
 	std::string announced(4 * kMaxBody, 'x'), sent = chunks(4 * kMaxBody, 65536);
