h1 server: a connection that makes progress is not the one that has held for longest

Callers saw: nothing yet; seen by reading. The age of what a connection holds began when it first held more than a little, so that one in steady use, which always holds something, would in time cost more than any that has stopped, and be given up in its place. Evidence: H1Server.ForLackOfMemoryAConnectionThatMakesProgressIsKept, red without the change. Change: an answer that its client has taken whole is progress, and the age begins anew. Result: the test passes.

--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -54,7 +54,7 @@
 	int64_t accept_wait_us;		 /* how long it waited to be accepted, at most */
 	int is_rejected;		 /* no request of it was admitted, or not the last */
 	struct snipe_memory_account account;
-	int64_t held_since_us; /* as long as it holds more than a little; 0: it does not */
+	int64_t held_since_us; /* holds more than a little without progress; 0: it does not */
 	struct snipe_h1_stream stream;
 	struct snipe_h1_parser parser;
 	struct snipe_h1_request *reading;      /* the request being read */
@@ -232,6 +232,14 @@
 		c->held_since_us = now;
 }
 
+/* A client that has taken all responses so far makes progress, whatever else it has the
+ * connection hold. */
+static void note_progress(struct snipe_h1_connection *c)
+{
+	if (snipe_h1_stream_unsent(&c->stream) == 0)
+		c->held_since_us = 0;
+}
+
 /* Moves the connection to the end of the list to which it belongs now. */
 static void update_idle(struct snipe_h1_connection *c)
 {
@@ -318,6 +326,7 @@
 			c->last = NULL;
 		c->pending_count--;
 		free_request(req);
+		note_progress(c);
 	}
 	if (!closes)
 		return;
@@ -483,6 +492,7 @@
 
 	c->last_active_us = snipe_now_us();
 	c->progress_us = 0;
+	note_progress(c);
 	if (c->is_read_closed && !c->first && !c->linger_until_us)
 		begin_lingering_close(c);
 	update_held(c, c->last_active_us);
--- a/tests/h1/server_test.cc
+++ b/tests/h1/server_test.cc
@@ -586,6 +586,32 @@
 	EXPECT_TRUE(t.loop.until([&] { return other.has("ok"); }));
 }
 
+// A connection in steady use may always hold something.
+TEST(H1Server, ForLackOfMemoryAConnectionThatMakesProgressIsKept)
+{
+	BoundedServer t;
+	Socket busy = Socket::connect_to(t.address), stopped = Socket::connect_to(t.address);
+	auto holds = [&](size_t bytes) {
+		return t.loop.until([&] { return t.memory.account.held >= bytes; });
+	};
+
+	busy.send_text("POST /one HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n123456789" +
+		       unfinished("/two"));
+	ASSERT_TRUE(holds(90000));
+	t.loop.run_ms(100);
+	stopped.send_text(unfinished("/stopped"));
+	ASSERT_TRUE(holds(180000));
+	t.loop.run_ms(100);
+	t.answer("/one", "ok");
+	t.memory.account.limit = 200000;
+	t.loop.run_ms(50);
+	snipe_memory_limit_enforce(&t.memory, snipe_now_us());
+	EXPECT_TRUE(t.loop.until([&] { return stopped.has("HTTP/1.1 503 "); }));
+	busy.send_text("x");
+	EXPECT_TRUE(t.wait_for_open(1));
+	t.answer("/two", "ok");
+}
+
 TEST(H1Server, AllMemoryIsReleasedWithTheConnections)
 {
 	BoundedServer t;
