--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -1,11 +1,13 @@
 // Randomized soak: real node processes on loopback, faults from outside in series that overlap,
 // and the promises checked from what clients and backend servers saw.
 //
-//   soak [--seed N] [--seconds N] [--nodes N] [--planned]
+//   soak [--seed N] [--seconds N] [--nodes N] [--planned] [--crowd]
 //
 // The same seed draws the same faults and requests. --planned leaves out all faults but planned
-// stops, drains and new tables, and checks that no request is cut off. Exit status 0: all
-// promises held; 1: one was broken, with a line each and the logs kept.
+// stops, drains and new tables, and checks that no request is cut off. --crowd adds clients
+// that stop within their bodies or do not read, to nodes on machines of 64 MB, and checks the
+// memory of the nodes. Exit status 0: all promises held; 1: one was broken, with a line each
+// and the logs kept.
 #include <getopt.h>
 #include <signal.h>
 
@@ -24,11 +26,16 @@
 const int64_t DRAIN_US = 2000000, REVOKE_US = 5000000, RECOVER_US = 15000000;
 const double RATE = 20, BURST = 20, OVERAGE = 0.1, QUOTA_SLACK = 20;
 const int64_t QUOTA_WINDOW_US = 5000000;
+// The machine of a node, and the most clients that hold its memory, with --crowd.
+const int CROWD_MEMORY_MB = 64;
+const size_t CROWD_SIZE = 400;
+// Id of the crowd's requests that may run.
+const char LONG_ID[] = "long";
 
 struct Options {
 	unsigned seed = 1;
 	int seconds = 20, nodes = 6;
-	bool planned = false;
+	bool planned = false, crowd = false;
 };
 
 struct Asked {
@@ -102,6 +109,32 @@
 	}
 };
 
+// A client that has a node hold bytes for as long as its connection lasts.
+struct Occupant {
+	Socket socket;
+	std::string out;
+	bool ended = false;
+
+	Occupant(const struct snipe_address &address, const std::string &bytes) : out(bytes)
+	{
+		struct sockaddr_storage ss;
+		int len = snipe_address_to_sockaddr(&address, &ss);
+
+		socket = Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+		ended = connect(socket.fd, (struct sockaddr *)&ss, (socklen_t)len) < 0 &&
+			errno != EINPROGRESS;
+	}
+	void Send()
+	{
+		ssize_t n = send(socket.fd, out.data(), out.size(), MSG_NOSIGNAL);
+
+		if (n > 0)
+			out.erase(0, (size_t)n);
+		else if (n < 0 && errno != EAGAIN && errno != ENOTCONN)
+			ended = true;
+	}
+};
+
 class Soak
 {
       public:
@@ -143,6 +176,8 @@
 	void CheckPipelines();
 	void CheckRecovery();
 	void Pipelines(int64_t end);
+	void Crowd();
+	void CheckMemory();
 	Options options_;
 	std::mt19937 rng_;
 	Deployment d_;
@@ -150,6 +185,9 @@
 	std::multimap<int64_t, std::function<void()>> later_;
 	std::vector<Asked> asked_;
 	std::vector<Pipeline> pipelines_;
+	std::vector<Occupant> occupants_;
+	std::set<pid_t> too_large_;
+	int64_t next_occupant_us_ = 0, memory_checked_us_ = 0;
 	int64_t next_pipeline_us_ = 0;
 	int next_pipeline_ = 0;
 	std::map<std::string, int64_t> withdrawn_; // key -> acknowledgement
@@ -169,6 +207,11 @@
 	d_.tenants = {R"(["one",["one-0","one-1","one-2","one-3"],0,0,0])",
 		      "[\"two\",[\"two-0\"],0," + std::to_string(RATE) + "," +
 			      std::to_string(BURST) + "]"};
+	if (options_.crowd) {
+		d_.node_memory_mb = CROWD_MEMORY_MB;
+		d_.routes.push_back(
+			R"(["long","a.example","/long/","download",2,3,true,null,"tips"])");
+	}
 	for (int i = 0; i < options_.nodes; i++) {
 		size_t n = d_.AddNode(i % 2 ? "bookings" : "tips", i % 3 ? "east" : "west");
 		auto &at = d_.nodes[n]->at;
@@ -238,6 +281,59 @@
 	}
 }
 
+// Adds clients that hold memory, and goes on with those that are there.
+void Soak::Crowd()
+{
+	static const std::string head = " HTTP/1.1\r\nHost: a.example\r\nDeadline-Ms: 3000\r\n"
+					"Attempt-Id: ";
+	int64_t now = snipe_now_us();
+
+	if (now >= next_occupant_us_) {
+		std::string bytes;
+		next_occupant_us_ = now + 20000;
+		switch (Draw(3)) {
+		case 0:
+			bytes = "POST /open/x" + head +
+				"unfinished\r\nTransfer-Encoding: chunked\r\n\r\ndbba0\r\n" +
+				std::string(899999, 'x');
+			break;
+		case 1:
+			bytes = "POST /open/x" + head +
+				"unfinished\r\nContent-Length: 900000\r\n\r\n" +
+				std::string((size_t)Draw(899999), 'x');
+			break;
+		default:
+			for (int i = 0; i < 4; i++)
+				bytes += "GET /long/x" + head + LONG_ID + "\r\n\r\n";
+		}
+		occupants_.emplace_back(d_.nodes[AnyNode()]->at.outbound, bytes);
+		if (occupants_.size() > CROWD_SIZE)
+			occupants_.erase(occupants_.begin());
+	}
+	for (auto &n : d_.nodes)
+		n->server->behaviour.body_bytes = 1000000;
+	for (auto &o : occupants_)
+		if (!o.ended && !o.out.empty())
+			o.Send();
+	if (now - memory_checked_us_ > 30000) {
+		memory_checked_us_ = now;
+		CheckMemory();
+	}
+}
+
+void Soak::CheckMemory()
+{
+	for (auto &n : d_.nodes) {
+		std::string status =
+			ReadFile("/proc/" + std::to_string(n->process->pid()) + "/status");
+		size_t at = status.find("VmHWM:");
+		long mb = at == std::string::npos ? 0 : atol(status.c_str() + at + 6) / 1024;
+
+		if (mb > CROWD_MEMORY_MB && too_large_.insert(n->process->pid()).second)
+			Broken("MEMORY", "a node holds " + std::to_string(mb) + " MB");
+	}
+}
+
 // Keeps what came back; some callers leave early.
 void Soak::Collect(bool all)
 {
@@ -442,6 +538,8 @@
 	for (const auto &a : asked_)
 		by_id[a.id] = &a;
 	for (const auto &run : d_.record.runs) {
+		if (run.id == LONG_ID)
+			continue;
 		auto it = by_id.find(run.id);
 		if (it == by_id.end()) {
 			Broken("UNASKED", run.id + " was asked by nobody");
@@ -596,6 +694,8 @@
 		Collect(false);
 		if (options_.planned)
 			Pipelines(end);
+		if (options_.crowd)
+			Crowd();
 	}
 	Heal();
 	for (int64_t until = snipe_now_us() + 3500000; snipe_now_us() < until;) {
@@ -630,11 +730,10 @@
 
 int main(int argc, char **argv)
 {
-	static const struct option longs[] = {{"seed", 1, nullptr, 's'},
-					      {"seconds", 1, nullptr, 't'},
-					      {"nodes", 1, nullptr, 'n'},
-					      {"planned", 0, nullptr, 'p'},
-					      {nullptr, 0, nullptr, 0}};
+	static const struct option longs[] = {
+		{"seed", 1, nullptr, 's'},  {"seconds", 1, nullptr, 't'},
+		{"nodes", 1, nullptr, 'n'}, {"planned", 0, nullptr, 'p'},
+		{"crowd", 0, nullptr, 'c'}, {nullptr, 0, nullptr, 0}};
 	Options o;
 	int c;
 
@@ -652,6 +751,9 @@
 		case 'p':
 			o.planned = true;
 			break;
+		case 'c':
+			o.crowd = true;
+			break;
 		default:
 			return 2;
 		}
