--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -306,7 +306,8 @@
 			for (int i = 0; i < 4; i++)
 				bytes += "GET /long/x" + head + LONG_ID + "\r\n\r\n";
 		}
-		occupants_.emplace_back(d_.nodes[AnyNode()]->at.outbound, bytes);
+		// All at two nodes, so that they hold more there than a machine has.
+		occupants_.emplace_back(d_.nodes[(size_t)Draw(2)]->at.outbound, bytes);
 		if (occupants_.size() > CROWD_SIZE)
 			occupants_.erase(occupants_.begin());
 	}
