planned stop: unanswered requests get an answer before the exit, ready ones behind them are sent

Cause: the loop ended with the first request of each connection in flight, and the finish of the HTTP server freed the responses that waited behind it. Evidence: "stopped requests=10", the slow requests only; the clients received not one byte.

0.4 s before the end of the grace time, requests that are unanswered get 502, which leaves open whether they ran; what is ready behind them follows in order, and the process waits until the clients have it, at most until 0.1 s before the end. The bounds of a stop move to core/stop_schedule, with their reasons; admission late in a stop is as before. A SIGHUP during the stop can shorten its grace time only.

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -22,6 +22,8 @@
 #define SAVED_TOKENS_RATIO 0.4
 /* Long enough for the client's next request to go to another node. */
 #define RETRY_AFTER_STOPPING_US 100000
+/* Assumed for calls of backend servers, whose parents hold slots. */
+#define INNER_CALL_US 1000000
 /* Limits until the tables state them. The header size is that of the project's own interface;
  * the times allow for a slow caller. */
 #define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
@@ -208,6 +210,14 @@
 	       (call->waited_us > CLIENT_CHECK_US && snipe_h1_is_client_gone(call->req));
 }
 
+static int ends_before_exit(const struct snipe_entry_call *call)
+{
+	int64_t takes_us = call->workspace >= 0 ? INT64_MAX / 2 : INNER_CALL_US;
+
+	return snipe_stop_schedule_admits(call->entry->config.stop, call->received_us,
+					  takes_us);
+}
+
 /* Sends a request on or answers it. Returns whether it was admitted. */
 static int admit_request(struct snipe_entry *e, struct snipe_h1_request *req)
 {
@@ -224,7 +234,7 @@
 		snipe_entry_call_fail_with(call, 503, "expired_unread", 0);
 		return 0;
 	}
-	if (e->is_ending || (e->is_stopping && call->workspace >= 0)) {
+	if (!ends_before_exit(call)) {
 		snipe_entry_call_fail_with(call, 503, "stopping", RETRY_AFTER_STOPPING_US);
 		return 0;
 	}
@@ -438,6 +448,18 @@
 						   SNIPE_REPORT_MAX_DEMANDS);
 }
 
+void snipe_entry_answer_all(struct snipe_entry *e)
+{
+	static const struct snipe_entry_error unknown = {502, "stopped_before_answer", 0};
+
+	while (!LIST_EMPTY(&e->calls)) {
+		struct snipe_entry_call *call = LIST_FIRST(&e->calls);
+
+		call->may_have_run = 1;
+		snipe_entry_call_fail(call, &unknown);
+	}
+}
+
 int snipe_entry_in_flight(const struct snipe_entry *e)
 {
 	return e->in_flight;
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -19,6 +19,7 @@
 #include "core/entry_limit.h"
 #include "core/fleet_quota.h"
 #include "core/loop_lag.h"
+#include "core/stop_schedule.h"
 #include "gateway/dialect.h"
 #include "gateway/directory.h"
 #include "h1/server.h"
@@ -40,7 +41,8 @@
 	struct snipe_call_profile *profile;
 	struct snipe_route_costs *costs;
 	struct snipe_counters *counters;
-	const struct snipe_loop_lag *lag;  /* of the event loop */
+	const struct snipe_loop_lag *lag; /* of the event loop */
+	const struct snipe_stop_schedule *stop;
 	struct snipe_memory_limit *memory; /* NULL: no limit */
 };
 
@@ -58,8 +60,6 @@
 	GRand *rng;
 	LIST_HEAD(snipe_entry_calls, snipe_entry_call) calls;
 	int in_flight;
-	int is_stopping; /* client requests are rejected: the process exits soon */
-	int is_ending;	 /* calls of backend servers are rejected too */
 	struct snipe_histogram latency; /* of served client requests, microseconds */
 	int count_requests, count_served, count_retries, count_rejected, count_failed,
 		count_cancelled, count_chain_rejected, count_late, count_good_samples,
@@ -87,6 +87,8 @@
 /* Fills the demand for busy services into the node's report. */
 void snipe_entry_fill_report(struct snipe_entry *e, int64_t now_us,
 			     struct snipe_node_report *report);
+/* Answers all requests in flight with a status that leaves open whether they ran. */
+void snipe_entry_answer_all(struct snipe_entry *e);
 /* Returns the number of requests that have not been answered. */
 int snipe_entry_in_flight(const struct snipe_entry *e);
 /* Appends the state as a JSON object. */
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "base/memory_limit.h"
 #include "core/loop_lag.h"
+#include "core/stop_schedule.h"
 #include "gateway/cost_log.h"
 #include "gateway/crash_log.h"
 #include "gateway/departure_exchange.h"
@@ -23,19 +24,6 @@
 #include "h1/server.h"
 #include "node/peer_task.h"
 
-/* The readiness check fails from SIGTERM on. Clients keep sending requests until the check has
- * failed twice, at intervals of a second. */
-#define STOP_MIN_SERVE_US 2600000
-/* Client requests are rejected as not run from then on; accepted ones have time to end. */
-#define STOP_REJECT_AFTER_US 3000000
-/* Calls of backend servers, whose parents hold slots, are rejected this long before the end. */
-#define STOP_REJECT_CALLS_US 1000000
-/* Calls of other nodes are accepted for this long, so that a restart costs little capacity. */
-#define STOP_GATE_AFTER_US 2200000
-/* The process exits this long before the end of the grace time in any case. */
-#define STOP_MARGIN_US 400000
-/* Before that, it exits once nothing was in flight for this long. */
-#define STOP_IDLE_US 200000
 /* Requests cleared of suspicion are reported for this long, since reports can be lost. */
 #define CLEARED_REPORT_US 3000000
 /* Interval at which a report includes one suspect request: reports have little room beside the
@@ -100,8 +88,7 @@
 	int64_t logged_us; /* when that was */
 	int busy_reports, busy_logs;
 	struct snipe_routing *routing;
-	int64_t stop_us; /* when the stop began; 0: not stopping */
-	int64_t idle_us; /* since when nothing is in flight; 0: not idle */
+	struct snipe_stop_schedule stop;
 	int64_t settings_revision, settings_checked_us;
 	int64_t suspects_reported_us;
 	int was_ready;
@@ -109,7 +96,7 @@
 
 static int is_ready(const struct gateway *g)
 {
-	return !g->stop_us && g->routing &&
+	return !snipe_stop_schedule_has_begun(&g->stop) && g->routing &&
 	       snipe_entry_has_confirmed_tables(&g->entry, snipe_now_us());
 }
 
@@ -215,7 +202,7 @@
 {
 	snipe_buffer_printf(out, "{\"node\":\"%s\",\"ready\":%s,\"stopping\":%s,\"entry\":",
 			    g->settings.node_id, is_ready(g) ? "true" : "false",
-			    g->stop_us ? "true" : "false");
+			    snipe_stop_schedule_has_begun(&g->stop) ? "true" : "false");
 	snipe_entry_dump(&g->entry, out);
 	snipe_buffer_printf(out, ",\"gate\":");
 	snipe_gate_dump(&g->gate, out);
@@ -525,9 +512,8 @@
 
 static void begin_stop(struct gateway *g, const char *cause)
 {
-	if (g->stop_us)
+	if (!snipe_stop_schedule_begin(&g->stop, snipe_now_us(), g->settings.stop_grace_us))
 		return;
-	g->stop_us = snipe_now_us();
 	snipe_log(SNIPE_LOG_INFO, "stop_started", "cause=%s requests=%d gate_calls=%d", cause,
 		  snipe_entry_in_flight(&g->entry), snipe_gate_in_flight(&g->gate));
 	snipe_h1_server_close_gracefully(&g->entry.server);
@@ -570,6 +556,7 @@
 	g->settings.announce_interval_us = s.announce_interval_us;
 	g->settings.key_revocation_us = s.key_revocation_us;
 	g->settings.stop_grace_us = s.stop_grace_us;
+	snipe_stop_schedule_set_grace(&g->stop, s.stop_grace_us);
 	g->settings.retry_ratio = s.retry_ratio;
 	g->settings.retry_slack = s.retry_slack;
 	g->settings.max_memory_bytes = s.max_memory_bytes;
@@ -606,23 +593,13 @@
 
 static void continue_stop(struct gateway *g, int64_t now)
 {
-	int64_t since = now - g->stop_us, end = g->settings.stop_grace_us - STOP_MARGIN_US;
-
-	if (since >= STOP_GATE_AFTER_US && !g->gate.is_stopping)
+	if (snipe_stop_schedule_rejects_calls(&g->stop, now) && !g->gate.is_stopping)
 		snipe_gate_stop(&g->gate);
-	if (!is_idle(g))
-		g->idle_us = 0;
-	else if (!g->idle_us)
-		g->idle_us = now;
-	/* Readiness checks have failed by now; a later request could be cut off by the exit. */
-	if (since >= STOP_REJECT_AFTER_US)
-		g->entry.is_stopping = 1;
-	if (since >= end - STOP_REJECT_CALLS_US)
-		g->entry.is_ending = 1;
-	if (since >= STOP_MIN_SERVE_US)
+	if (snipe_stop_schedule_closes_idle(&g->stop, now))
 		snipe_h1_server_close_idle(&g->entry.server);
-	if ((since >= STOP_MIN_SERVE_US && g->idle_us && now - g->idle_us >= STOP_IDLE_US) ||
-	    since >= end)
+	if (snipe_stop_schedule_is_ending(&g->stop, now))
+		snipe_entry_answer_all(&g->entry);
+	if (snipe_stop_schedule_is_over(&g->stop, now, is_idle(g)))
 		event_base_loopbreak(g->base);
 }
 
@@ -705,7 +682,7 @@
 		snipe_log(SNIPE_LOG_INFO, "readiness_changed",
 			  "ready=%d stopping=%d tables=%llx "
 			  "confirmed_age_ms=%lld",
-			  ready, g->stop_us != 0,
+			  ready, snipe_stop_schedule_has_begun(&g->stop),
 			  (unsigned long long)(g->routing ? g->routing->version : 0),
 			  (long long)((now - g->entry.confirmed_us) / 1000));
 	g->was_ready = ready;
@@ -717,7 +694,7 @@
 			snipe_directory_rank(&g->directory,
 					     snipe_hash64_str(SNIPE_COST_LOG_NAME)));
 	snipe_entry_update_chain_limit(&g->entry);
-	if (g->stop_us)
+	if (snipe_stop_schedule_has_begun(&g->stop))
 		continue_stop(g, now);
 	else
 		check_settings(g, now);
@@ -829,6 +806,7 @@
 		.costs = &g->costs,
 		.counters = &g->counters,
 		.lag = &g->lag,
+		.stop = &g->stop,
 		.memory = &g->memory,
 	};
 
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -78,6 +78,7 @@
 	}
 	std::pair<Entry *, int> handles[2] = {{this, 0}, {this, 1}};
 	struct snipe_loop_lag lag;
+	struct snipe_stop_schedule stop = {};
 	// The loop reads requests of clients this long after they arrive.
 	void set_lag(int64_t us)
 	{
@@ -134,6 +135,7 @@
 		config.counters = &counters;
 		snipe_loop_lag_init(&lag);
 		config.lag = &lag;
+		config.stop = &stop;
 		snipe_memory_limit_init(&memory, 0, nullptr, nullptr);
 		config.memory = &memory;
 		ASSERT_EQ(snipe_entry_init(&entry, &config, &err), 0) << err.text;
@@ -613,7 +615,7 @@
 TEST_F(Entry, AStoppingNodeRejectsClientRequestsAndServesInnerCalls)
 {
 	apply_default_tables();
-	entry.is_stopping = 1;
+	snipe_stop_schedule_begin(&stop, snipe_now_us() - 3100000, 6000000);
 	Socket keyed = connect_and_send("/read/x"), inner = connect_and_send("/open/x", "", "");
 
 	EXPECT_EQ(status(keyed), 503);
@@ -623,6 +625,25 @@
 		<< "calls of the backend server beside the node are still served";
 }
 
+// Guards against responses that are ready and lost since an earlier request of their connection
+// is unanswered when the process ends.
+TEST_F(Entry, ReadyResponsesBehindAnUnansweredRequestAreSentWhenAStopEnds)
+{
+	apply_default_tables();
+	Socket c = connect_and_send("/read/slow");
+	send(c, "/read/quick");
+	ASSERT_TRUE(wait_for_calls(2));
+	for (const ReceivedCall &call : calls)
+		if (call.path == "/read/quick")
+			reply(call, SNIPE_ANSWER_COMPLETE, 200, "quick");
+	ASSERT_TRUE(loop.until([&] { return snipe_entry_in_flight(&entry) == 1; }));
+	EXPECT_FALSE(c.has("HTTP/1.1"));
+	snipe_entry_answer_all(&entry);
+	ASSERT_TRUE(loop.until([&] { return c.has("quick"); }));
+	EXPECT_EQ(c.in.rfind("HTTP/1.1 502", 0), 0u) << c.in;
+	EXPECT_EQ(snipe_entry_in_flight(&entry), 0);
+}
+
 // A service at the end of the chain has 20 slots, and the fleet asks for twenty times as many.
 TEST_F(Entry, RejectsAtOnceWhatAServiceDeeperInTheChainCannotComplete)
 {
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -17,6 +17,7 @@
 		services = {R"(["tips",100])", R"(["bookings",100])"};
 		routes = {
 			R"(["open","a.example","/open/","idempotent",3,2,true,null,"tips"])",
+			R"(["patient","a.example","/patient/","idempotent",6,2,true,null,"tips"])",
 			R"(["read","a.example","/read/","idempotent",3,2,false,null,"tips"])",
 			R"(["pay","a.example","/pay/","non_idempotent",3,2,false,null,"bookings"])",
 			R"(["split","a.example","/split/","idempotent",3,2,true,
@@ -565,6 +566,36 @@
 	EXPECT_FALSE(c.reset);
 }
 
+// Guards against answers that are ready in the node and dropped with its end, since a request
+// before them on their connection is still unanswered.
+TEST_F(Platform, APlannedStopSendsAnswersThatWaitBehindAnUnfinishedRequest)
+{
+	start(1, 1);
+	FakeServer &server = *nodes[0]->server;
+	Socket c = Socket::connect_to(nodes[1]->at.outbound);
+	auto send = [&](const std::string &id, int run_ms) {
+		server.behaviour.run_ms = run_ms;
+		c.send_text("GET /patient/" + id + " HTTP/1.1\r\nHost: a.example\r\n" +
+			    "Attempt-Id: " + id + "\r\nDeadline-Ms: 6000\r\n\r\n");
+		return loop.until([&] { return runs(id) == 1; });
+	};
+
+	nodes[1]->process->Signal(SIGTERM);
+	loop.run_ms(2500);
+	ASSERT_TRUE(send("slow", 3800));
+	ASSERT_TRUE(send("quick-1", 20));
+	ASSERT_TRUE(send("quick-2", 20));
+	loop.until([&] {
+		c.pump();
+		return c.eof || c.reset;
+	});
+	EXPECT_TRUE(c.has("body of quick-1")) << c.in;
+	EXPECT_TRUE(c.has("body of quick-2")) << c.in;
+	EXPECT_FALSE(c.has("HTTP/1.1 503")) << "the first request ran";
+	EXPECT_FALSE(c.reset);
+	EXPECT_EQ(nodes[1]->process->Wait(), 0);
+}
+
 // A node that is kept alive by slow requests must not take others that its end would cut off.
 TEST_F(Platform, AStoppingNodeRefusesRequestsShortlyBeforeItsEnd)
 {
