planned stop: a request is accepted late only if it is expected to end in time

Cause: from 3 s on, requests with a key were rejected and all others accepted until a second before the end, whatever they take. Who sent a request says nothing about whether it can end. By the same rule, clients with a key were refused although there was time.

From 3 s on a request is accepted if its deadline lies before the last answers of the stop, or 1.5 times the longest time that its route's requests took in the last 30 to 60 s and 0.1 s more do, once 20 of them are known; all others get 503, not run. One rule for clients and servers, with and without key.

Entry.AStoppingNodeRejectsClientRequestsAndServesInnerCalls asked for the old rule; three tests with the new one replace it.

--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -22,8 +22,11 @@
 #define SAVED_TOKENS_RATIO 0.4
 /* Long enough for the client's next request to go to another node. */
 #define RETRY_AFTER_STOPPING_US 100000
-/* Assumed for calls of backend servers, whose parents hold slots. */
-#define INNER_CALL_US 1000000
+/* A request is expected to take up to this multiple of the longest time of its route's recent
+ * requests, and the extra time; with fewer of them, all of its time left. */
+#define TIME_FACTOR 1.5
+#define TIME_EXTRA_US 100000
+#define MIN_TIMES 20
 /* Limits until the tables state them. The header size is that of the project's own interface;
  * the times allow for a slow caller. */
 #define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
@@ -210,12 +213,16 @@
 	       (call->waited_us > CLIENT_CHECK_US && snipe_h1_is_client_gone(call->req));
 }
 
-static int ends_before_exit(const struct snipe_entry_call *call)
+/* The longest time that the request is expected to take. */
+static int64_t expected_us(const struct snipe_entry_call *call)
 {
-	int64_t takes_us = call->workspace >= 0 ? INT64_MAX / 2 : INNER_CALL_US;
+	int64_t left = call->deadline_us - call->received_us, longest;
+	int count =
+		snipe_recent_max_get(&call->entry_route->times_us, call->received_us, &longest);
 
-	return snipe_stop_schedule_admits(call->entry->config.stop, call->received_us,
-					  takes_us);
+	if (count < MIN_TIMES)
+		return left;
+	return MIN(left, (int64_t)(TIME_FACTOR * (double)longest) + TIME_EXTRA_US);
 }
 
 /* Sends a request on or answers it. Returns whether it was admitted. */
@@ -234,11 +241,11 @@
 		snipe_entry_call_fail_with(call, 503, "expired_unread", 0);
 		return 0;
 	}
-	if (!ends_before_exit(call)) {
+	call->entry_route = find_entry_route(e, call->route->name);
+	if (!snipe_stop_schedule_admits(e->config.stop, call->received_us, expected_us(call))) {
 		snipe_entry_call_fail_with(call, 503, "stopping", RETRY_AFTER_STOPPING_US);
 		return 0;
 	}
-	call->entry_route = find_entry_route(e, call->route->name);
 	call->service = choose_service(call->entry_route, call->route);
 	call->entry_service = find_entry_service(e, call->service);
 	/* Inner calls, which the backend server makes, carry no key. */
@@ -285,6 +292,7 @@
 	struct snipe_entry_call *call = req->callback_data;
 
 	snipe_entry_call_log(call, "request_cancelled", 0, "caller_left", 0);
+	snipe_entry_call_record_time(call);
 	snipe_counters_add(e->config.counters, e->count_cancelled, 1);
 	snipe_entry_call_free(call);
 }
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -144,6 +144,13 @@
 				 call->route->priority);
 }
 
+void snipe_entry_call_record_time(struct snipe_entry_call *call)
+{
+	int64_t now = snipe_now_us();
+
+	snipe_recent_max_add(&call->entry_route->times_us, now, now - call->received_us);
+}
+
 void snipe_entry_call_fail(struct snipe_entry_call *call, const struct snipe_entry_error *error)
 {
 	struct snipe_entry *e = call->entry;
@@ -229,6 +236,7 @@
 	r.body = body;
 	r.body_len = body_len;
 	record_latency(call, a->status >= 500);
+	snipe_entry_call_record_time(call);
 	snipe_entry_call_log(call, "request_served", a->status, "served", 0);
 	snipe_counters_add(e->config.counters, e->count_served, 1);
 	if (!call->is_inner)
@@ -311,6 +319,8 @@
 	if (respond_saved_failure(call) == 0)
 		return;
 	record_latency(call, 1);
+	if (call->may_have_run)
+		snipe_entry_call_record_time(call);
 	if (call->may_have_run && now >= call->deadline_us)
 		snipe_entry_call_fail_with(call, 504, "timeout", 0);
 	else if (call->may_have_run)
--- a/libs/gateway/entry_state.h
+++ b/libs/gateway/entry_state.h
@@ -6,6 +6,7 @@
 
 #include <event2/event_struct.h>
 
+#include "core/recent_max.h"
 #include "core/retry.h"
 #include "gateway/entry.h"
 
@@ -23,7 +24,8 @@
 	int cost_handle;	/* in the route costs */
 	double chain_credit;	/* accumulated parts of a request that may be admitted */
 	double mean_attempt_us; /* of the attempts that were answered; 0: none yet */
-	int *current_weights;	/* of the targets, for smooth weighted round robin */
+	struct snipe_recent_max times_us; /* of requests that ran or may have run */
+	int *current_weights;		  /* of the targets, for smooth weighted round robin */
 	int current_weight_count;
 	char targets[256]; /* services that current_weights belongs to */
 };
@@ -110,6 +112,8 @@
 void snipe_entry_call_init_timers(struct snipe_entry_call *call);
 /* Starts the timer that ends the call soon after its deadline. */
 void snipe_entry_call_start_timer(struct snipe_entry_call *call);
+/* Records how long the call has taken, for a call that ran or may have run. */
+void snipe_entry_call_record_time(struct snipe_entry_call *call);
 /* Cancels the open attempts and frees the call without an answer. */
 void snipe_entry_call_free(struct snipe_entry_call *call);
 /* Answers with a status of the node's own. */
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -612,17 +612,52 @@
 		EXPECT_EQ(c.rank, c.path == "/read/x" ? 16 + 2 : 2 * 16 + 2);
 }
 
-TEST_F(Entry, AStoppingNodeRejectsClientRequestsAndServesInnerCalls)
+// Guards against requests that a stopping node passes on and cannot answer, and against
+// rejected ones for which there was time.
+TEST_F(Entry, AStoppingNodeRejectsWhatMayNotEndInTime)
 {
 	apply_default_tables();
-	snipe_stop_schedule_begin(&stop, snipe_now_us() - 3100000, 6000000);
+	snipe_stop_schedule_begin(&stop, snipe_now_us() - 4600000, 6000000);
 	Socket keyed = connect_and_send("/read/x"), inner = connect_and_send("/open/x", "", "");
-
-	EXPECT_EQ(status(keyed), 503);
+	EXPECT_EQ(status(keyed), 503) << "its route allows it two seconds";
 	EXPECT_TRUE(keyed.has("Retry-After: "));
-	ASSERT_TRUE(wait_for_calls(1));
-	EXPECT_EQ(calls[0].path, "/open/x")
-		<< "calls of the backend server beside the node are still served";
+	EXPECT_EQ(status(inner), 503);
+	Socket brief = connect_and_send("/read/x", "Left: 500\r\n");
+	ASSERT_TRUE(wait_for_calls(1)) << "its client waits no longer than the node runs";
+	EXPECT_EQ(calls.size(), 1u);
+}
+
+TEST_F(Entry, AStoppingNodeServesRequestsOfARouteThatWasQuickLately)
+{
+	apply_default_tables();
+	for (size_t i = 1; i <= 20; i++) {
+		Socket c = connect_and_send("/read/x");
+		ASSERT_TRUE(wait_for_calls(i));
+		reply(calls[i - 1], SNIPE_ANSWER_COMPLETE);
+		ASSERT_EQ(status(c), 200);
+	}
+	snipe_stop_schedule_begin(&stop, snipe_now_us() - 4600000, 6000000);
+	Socket quick = connect_and_send("/read/x"), other = connect_and_send("/book/x");
+	ASSERT_TRUE(wait_for_calls(21));
+	EXPECT_EQ(calls[20].path, "/read/x");
+	EXPECT_EQ(status(other), 503) << "nothing is known of its route";
+}
+
+TEST_F(Entry, AStoppingNodeRejectsRequestsOfARouteThatWasSlowLately)
+{
+	apply_default_tables();
+	for (size_t i = 1; i <= 20; i++) {
+		Socket c = connect_and_send("/book/x");
+		ASSERT_TRUE(wait_for_calls(i));
+		if (i == 10)
+			loop.run_ms(700);
+		reply(calls[i - 1], SNIPE_ANSWER_COMPLETE);
+		ASSERT_EQ(status(c), 200);
+	}
+	snipe_stop_schedule_begin(&stop, snipe_now_us() - 4600000, 6000000);
+	Socket c = connect_and_send("/book/x");
+	EXPECT_EQ(status(c), 503);
+	EXPECT_EQ(calls.size(), 20u);
 }
 
 // Guards against responses that are ready and lost since an earlier request of their connection
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -596,6 +596,45 @@
 	EXPECT_EQ(nodes[1]->process->Wait(), 0);
 }
 
+// Guards against requests that a stopping node accepts and passes on, and that its end cuts.
+TEST_F(Platform, APlannedStopAnswersWhatItAcceptsLate)
+{
+	start(1, 1);
+	nodes[0]->server->behaviour.run_ms = 1200;
+	std::vector<std::unique_ptr<Pending>> sent;
+	auto send = [&](int count) {
+		for (int i = 0; i < count; i++) {
+			Request r = get("/patient/1");
+			r.left_ms = 6000;
+			r.id = "r" + std::to_string(sent.size());
+			sent.push_back(Begin(1, r));
+			loop.run_ms(100);
+		}
+	};
+	auto all_done = [&] {
+		for (auto &p : sent)
+			if (!p->reply.done)
+				return false;
+		return true;
+	};
+
+	send(25);
+	ASSERT_TRUE(loop.until(all_done));
+	nodes[1]->process->Signal(SIGTERM);
+	send(54);
+	ASSERT_TRUE(loop.until(all_done));
+	int served_late = 0;
+	for (size_t i = 25; i < sent.size(); i++) {
+		const Reply &r = sent[i]->reply;
+		if (runs(sent[i]->request.id) > 0) {
+			EXPECT_EQ(r.status, 200) << "sent " << (i - 25) * 100 << " ms in";
+		}
+		served_late += r.status == 200 && i - 25 > 30;
+	}
+	EXPECT_GT(served_late, 2) << "rejected although there was time";
+	EXPECT_EQ(nodes[1]->process->Wait(), 0);
+}
+
 // A node that is kept alive by slow requests must not take others that its end would cut off.
 TEST_F(Platform, AStoppingNodeRefusesRequestsShortlyBeforeItsEnd)
 {
