gate: while earlier departures are unknown, a server is used from its second announcement on

Cause: the next process could not read its record, and had one state for "no departure" and "not read". One delayed ping from before the leaving was taken for a live server. Evidence, logs of the new test on the code as landed: departure_store_call_failed call=get, then server_usability_changed usable=1 with the late ping, no departure_restored.

A server that lives waits one announcement interval and not for the store.

--- a/libs/gateway/departure_log.c
+++ b/libs/gateway/departure_log.c
@@ -28,8 +28,10 @@
 	if (l->is_restored)
 		return;
 	l->is_restored = 1;
-	if (!object)
+	if (!object) {
+		l->config.known(l->config.arg);
 		return;
+	}
 	if (snipe_departure_parse(object->value, object->len, &d) < 0) {
 		snipe_log(SNIPE_LOG_WARNING, "departure_malformed", "bytes=%zu version=%llu",
 			  object->len, (unsigned long long)object->version);
@@ -40,6 +42,7 @@
 		  (long long)d.started_ms, (unsigned long long)d.sequence,
 		  (unsigned long long)object->version);
 	l->config.restored(l->config.arg, &d);
+	l->config.known(l->config.arg);
 }
 
 static void append_value(struct snipe_kept_object *o, struct snipe_buffer *out)
--- a/libs/gateway/departure_log.h
+++ b/libs/gateway/departure_log.h
@@ -16,6 +16,8 @@
 	struct snipe_kept_object_config object; /* one for each node, named by its id */
 	/* Departure that an earlier process of this node recorded. */
 	void (*restored)(void *arg, const struct snipe_departure *d);
+	/* The store was read, and a departure in it restored. */
+	void (*known)(void *arg);
 	/* All departures recorded so far are in the store. */
 	void (*written)(void *arg);
 	void *arg;
--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -105,7 +105,9 @@
 		return SNIPE_GATE_DRAINING;
 	if (!g->has_server || g->is_down || is_unresponsive(g, now))
 		return SNIPE_GATE_NO_SERVER;
-	return g->server.state == SNIPE_SERVER_READY ? NULL : SNIPE_GATE_DRAINING;
+	if (g->server.state != SNIPE_SERVER_READY)
+		return SNIPE_GATE_DRAINING;
+	return g->is_confirmed ? NULL : SNIPE_GATE_UNCONFIRMED;
 }
 
 static void fill_load(const struct snipe_gate *g, struct snipe_msg_answer *a)
@@ -743,11 +745,20 @@
 	return a->state != SNIPE_SERVER_NONE && a->sequence <= known->sequence;
 }
 
+/* Whether a departure that an earlier process acknowledged would be known here, or is too old
+ * for announcements from before it to arrive. */
+static int has_known_departures(const struct snipe_gate *g)
+{
+	return g->are_departures_known ||
+	       snipe_now_us() - g->started_us >= SNIPE_DEPARTURE_VALID_US;
+}
+
 static void update_server(struct snipe_gate *g, const struct snipe_server_announcement *a)
 {
 	int is_new = !g->has_server || strcmp(g->server.id, a->id) != 0 ||
 		     g->server.started_ms != a->started_ms;
 
+	g->is_confirmed = !is_new || has_known_departures(g);
 	if (is_new) {
 		if (g->has_server && g->server.state == SNIPE_SERVER_READY)
 			record_crash(g, "new_process");
@@ -755,9 +766,10 @@
 		snipe_h1_pool_retire_connections(&g->pool);
 		g->service_us = 0;
 		snipe_log(SNIPE_LOG_INFO, "server_announced",
-			  "server=%s started_ms=%lld slots=%d state=%d sequence=%llu", a->id,
-			  (long long)a->started_ms, a->slots, a->state,
-			  (unsigned long long)a->sequence);
+			  "server=%s started_ms=%lld slots=%d state=%d sequence=%llu "
+			  "confirmed=%d",
+			  a->id, (long long)a->started_ms, a->slots, a->state,
+			  (unsigned long long)a->sequence, g->is_confirmed);
 	}
 	g->server = *a;
 	g->has_server = 1;
@@ -842,6 +854,14 @@
 	return 1;
 }
 
+void snipe_gate_set_departures_known(struct snipe_gate *g)
+{
+	g->are_departures_known = 1;
+	g->is_confirmed = 1;
+	update_usable(g);
+	start_waiting_calls(g);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct snipe_gate *g = arg;
@@ -917,7 +937,7 @@
 		g->pool.account = &config->memory->account;
 		snipe_memory_limit_add(config->memory, &g->holder, &holder_ops, g);
 	}
-	g->ticked_us = g->recent_at_us = snipe_now_us();
+	g->started_us = g->ticked_us = g->recent_at_us = snipe_now_us();
 	g->calls = g_ptr_array_new();
 	g->strikes = g_array_new(FALSE, FALSE, sizeof(struct snipe_strike));
 	g->lost_fingerprints = g_array_new(FALSE, FALSE, sizeof(uint64_t));
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -33,6 +33,7 @@
 #define SNIPE_GATE_NO_SOCKET "no_socket"
 #define SNIPE_GATE_NO_MEMORY "no_memory"
 #define SNIPE_GATE_DRAINING "draining"
+#define SNIPE_GATE_UNCONFIRMED "server_unconfirmed"
 #define SNIPE_GATE_EXPIRED "expired"
 #define SNIPE_GATE_CRASH_SUSPECT "crash_suspect"
 #define SNIPE_GATE_SERVER_REJECTED "server_refused"
@@ -64,11 +65,14 @@
 	struct snipe_server_announcement server; /* the last announcement */
 	int has_server;
 	int is_down; /* refused a connection, or answered 421, since its last announcement */
+	int is_confirmed; /* no earlier process can have acknowledged its departure */
 	int64_t last_announcement_us;
 	int64_t cold_until_us;
 	struct snipe_departure departure; /* the last one; an empty id: none */
 	int is_departure_restored;	  /* an earlier process received it */
 	int64_t departed_us;		  /* when it was received or restored */
+	int are_departures_known;	  /* those of earlier processes */
+	int64_t started_us;
 	int is_stopping;
 	int was_usable;	     /* as last reported to other nodes */
 	int max_connections; /* limit in the tables; 0: none */
@@ -111,6 +115,10 @@
 /* Applies a departure that an earlier process of the node recorded. Returns nonzero if it was
  * applied, and 0 if a later one is known. */
 int snipe_gate_restore_departure(struct snipe_gate *g, const struct snipe_departure *d);
+/* All departures that earlier processes acknowledged were restored. Before this call, and until
+ * departures are too old to matter, a server is used only after a second announcement: it sends
+ * none after its departure, but one that was delayed may arrive. */
+void snipe_gate_set_departures_known(struct snipe_gate *g);
 /* Sets the limit of the tables on connections to one backend server; 0: none. */
 void snipe_gate_set_max_connections(struct snipe_gate *g, int max_connections);
 /* Rejects new and waiting calls because the node stops. */
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -477,6 +477,13 @@
 		record_departure(g, d);
 }
 
+static void on_departures_known(void *arg)
+{
+	struct gateway *g = arg;
+
+	snipe_gate_set_departures_known(&g->gate);
+}
+
 static void on_departure_returned(void *arg, const struct snipe_departure *d)
 {
 	struct gateway *g = arg;
@@ -846,10 +853,13 @@
 				.is_first_start = g->settings.is_first_start,
 			},
 		.restored = on_departure_restored,
+		.known = on_departures_known,
 		.written = on_departure_written,
 		.arg = g,
 	};
 
+	if (g->settings.is_first_start)
+		snipe_gate_set_departures_known(&g->gate);
 	snipe_departure_log_init(&g->departures, &config);
 }
 
--- a/tests/gateway/departure_log_test.cc
+++ b/tests/gateway/departure_log_test.cc
@@ -19,7 +19,7 @@
 	HeldStore store;
 	struct snipe_departure_log log;
 	std::vector<struct snipe_departure> restored;
-	int written = 0;
+	int written = 0, known = 0;
 	bool started = false;
 
 	void start(bool is_first_start)
@@ -30,6 +30,7 @@
 		c.restored = [](void *arg, const struct snipe_departure *d) {
 			static_cast<DepartureLog *>(arg)->restored.push_back(*d);
 		};
+		c.known = [](void *arg) { static_cast<DepartureLog *>(arg)->known++; };
 		c.written = [](void *arg) { static_cast<DepartureLog *>(arg)->written++; };
 		c.arg = this;
 		snipe_departure_log_init(&log, &c);
@@ -80,6 +81,7 @@
 	ASSERT_EQ(restored.size(), 1u);
 	EXPECT_STREQ(restored[0].server_id, "i-1");
 	EXPECT_EQ(restored[0].sequence, 4u);
+	EXPECT_EQ(known, 1);
 	EXPECT_EQ(store.calls.size(), 1u);
 	record("i-1", 5);
 	EXPECT_EQ(store.calls.back().version, 9u);
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -86,6 +86,7 @@
 		};
 		config.arg = this;
 		snipe_gate_init(&gate, &config);
+		snipe_gate_set_departures_known(&gate);
 	}
 	void TearDown() override
 	{
@@ -386,6 +387,59 @@
 	ASSERT_TRUE(answered(b));
 }
 
+// Guards against a server that left and is used again: an announcement from before its
+// departure arrives at a process that does not know the departure.
+TEST_F(Gate, WhileDeparturesAreUnknownAServerIsUsedFromItsSecondAnnouncementOn)
+{
+	Answer a, b;
+
+	gate.are_departures_known = 0;
+	announce("i-1", SNIPE_SERVER_READY, 7);
+	announce("i-1", SNIPE_SERVER_READY, 7); // the same one
+	call(a);
+	ASSERT_TRUE(answered(a));
+	EXPECT_EQ(a.outcome, SNIPE_ANSWER_NOT_RUN);
+	EXPECT_EQ(a.reason, SNIPE_GATE_UNCONFIRMED);
+	struct snipe_node_report r = {};
+	snipe_gate_fill_report(&gate, snipe_now_us(), &r);
+	EXPECT_NE(r.server, SNIPE_SERVER_READY) << "other nodes would send it requests";
+	announce("i-1", SNIPE_SERVER_READY, 8);
+	call(b, true, "r2");
+	Socket *s = wait_for_request();
+	ASSERT_TRUE(s);
+	respond(s);
+	ASSERT_TRUE(answered(b));
+}
+
+TEST_F(Gate, AnAnnouncedServerIsUsedOnceDeparturesAreKnown)
+{
+	Answer a;
+
+	gate.are_departures_known = 0;
+	announce("i-1", SNIPE_SERVER_READY, 7);
+	snipe_gate_set_departures_known(&gate);
+	call(a);
+	Socket *s = wait_for_request();
+	ASSERT_TRUE(s);
+	respond(s);
+	ASSERT_TRUE(answered(a));
+}
+
+// Otherwise each server that starts in a long outage would wait for its second announcement.
+TEST_F(Gate, UnknownDeparturesDoNotMatterWhenTheyAreTooOld)
+{
+	Answer a;
+
+	gate.are_departures_known = 0;
+	gate.started_us -= SNIPE_DEPARTURE_VALID_US;
+	announce("i-1", SNIPE_SERVER_READY, 1);
+	call(a);
+	Socket *s = wait_for_request();
+	ASSERT_TRUE(s);
+	respond(s);
+	ASSERT_TRUE(answered(a));
+}
+
 TEST_F(Gate, AnotherServerAtTheAddressIsNotUsedUntilItAnnouncesItself)
 {
 	Answer a, b, c;
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -474,6 +474,42 @@
 		EXPECT_NE(record.runs[runs].server, s->id);
 }
 
+// Guards against a leaving that the store has and that the next process of the node cannot
+// read: the store turns the node away.
+TEST_F(Platform, AStoredLeavingHoldsForANodeThatTheStoreTurnsAway)
+{
+	start(2, 1);
+	FakeServer *s = nodes[0]->server.get();
+
+	s->Leave();
+	ASSERT_TRUE(loop.until([&] { return s->leave_acked_us > 0; }));
+	store.SetMode(0, StoreMode::Busy);
+	nodes[0]->process->Kill();
+	Start(0, false);
+	loop.run_ms(1500);
+	int acknowledged = s->acknowledged;
+	s->AnnounceLate();
+	ASSERT_TRUE(loop.until([&] { return s->acknowledged > acknowledged; }));
+	loop.run_ms(500);
+	size_t runs = record.runs.size();
+	for (size_t i = 0; i < 60; i++) {
+		EXPECT_EQ(Call(i % 3, get("/open/1")).status, 200);
+		loop.run_ms(20);
+	}
+	for (; runs < record.runs.size(); runs++)
+		EXPECT_NE(record.runs[runs].server, s->id);
+}
+
+// A server that lives must not wait for the store.
+TEST_F(Platform, AServerIsUsedByANodeThatCannotReadTheStore)
+{
+	start(1, 1);
+	store.SetMode(0, StoreMode::Busy);
+	nodes[0]->process->Kill();
+	Start(0, false);
+	ASSERT_TRUE(loop.until([&] { return Call(1, get("/open/1")).status == 200; }));
+}
+
 // Guards against an acknowledgement that a kill would undo: no other node and no store has the
 // departure.
 TEST_F(Platform, ALeavingThatIsKeptNowhereIsNotAcknowledged)
