departures: a store that was away has not told of all of them when it finds none

Cause: the acknowledgement rests on copies in memory. The next processes believed the store when it was back and had no record, although it had been away when the leaving was acknowledged.

Departures count as known only if the first read of the process succeeded.

--- a/libs/gateway/departure_log.c
+++ b/libs/gateway/departure_log.c
@@ -11,13 +11,20 @@
 
 static void on_failed(struct snipe_kept_object *o, const char *call, int err)
 {
-	const struct snipe_departure_log *l = (struct snipe_departure_log *)o;
+	struct snipe_departure_log *l = (struct snipe_departure_log *)o;
 
+	l->has_failed = 1;
 	snipe_log(SNIPE_LOG_WARNING, "departure_store_call_failed",
 		  "call=%s err=%s server=%s is_writing=%d", call, snipe_error_name(err),
 		  l->departure.server_id, snipe_kept_object_is_writing(o));
 }
 
+static void report_known(const struct snipe_departure_log *l)
+{
+	if (!l->has_failed)
+		l->config.known(l->config.arg);
+}
+
 /* Only the first read has the record of an earlier process; later ones may return a write of
  * this process. */
 static void on_loaded(struct snipe_kept_object *o, const struct snipe_object *object)
@@ -29,7 +36,7 @@
 		return;
 	l->is_restored = 1;
 	if (!object) {
-		l->config.known(l->config.arg);
+		report_known(l);
 		return;
 	}
 	if (snipe_departure_parse(object->value, object->len, &d) < 0) {
@@ -42,7 +49,7 @@
 		  (long long)d.started_ms, (unsigned long long)d.sequence,
 		  (unsigned long long)object->version);
 	l->config.restored(l->config.arg, &d);
-	l->config.known(l->config.arg);
+	report_known(l);
 }
 
 static void append_value(struct snipe_kept_object *o, struct snipe_buffer *out)
--- a/libs/gateway/departure_log.h
+++ b/libs/gateway/departure_log.h
@@ -16,7 +16,9 @@
 	struct snipe_kept_object_config object; /* one for each node, named by its id */
 	/* Departure that an earlier process of this node recorded. */
 	void (*restored)(void *arg, const struct snipe_departure *d);
-	/* The store was read, and a departure in it restored. */
+	/* The store had all departures that earlier processes acknowledged; one in it was
+	 * restored. Not called if the first read failed: a departure may then have been
+	 * acknowledged on copies at other nodes, which have been killed too. */
 	void (*known)(void *arg);
 	/* All departures recorded so far are in the store. */
 	void (*written)(void *arg);
@@ -28,6 +30,7 @@
 	struct snipe_kept_object object; /* must be first: callbacks cast it to the log */
 	struct snipe_departure_log_config config;
 	int is_restored; /* the record of an earlier process was read */
+	int has_failed;	 /* the read failed before */
 	struct snipe_departure departure;
 };
 
--- a/tests/gateway/departure_log_test.cc
+++ b/tests/gateway/departure_log_test.cc
@@ -96,10 +96,19 @@
 	ASSERT_TRUE(has_calls(3));
 	store.calls.back().answer(SNIPE_ERR_NOT_FOUND);
 	EXPECT_TRUE(restored.empty());
+	EXPECT_EQ(known, 0) << "a departure may be acknowledged while the store is away";
 	loop.run_ms(50);
 	EXPECT_EQ(store.calls.size(), 3u);
 }
 
+TEST_F(DepartureLog, AStoreThatAnswersAtOnceHasAllDepartures)
+{
+	start(false);
+	EXPECT_EQ(known, 0);
+	store.calls.back().answer(SNIPE_ERR_NOT_FOUND);
+	EXPECT_EQ(known, 1);
+}
+
 TEST_F(DepartureLog, ADepartureRecordedDuringTheReadIsWrittenAfterIt)
 {
 	start(false);
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -500,6 +500,37 @@
 		EXPECT_NE(record.runs[runs].server, s->id);
 }
 
+// Guards against a leaving that nobody has any more: it was acknowledged on copies while the
+// store was away, and all nodes were killed before it was back.
+TEST_F(Platform, ALeavingDuringAnOutageHoldsAfterAKillOfAllNodes)
+{
+	start(2, 1);
+	FakeServer *s = nodes[0]->server.get();
+
+	for (size_t i = 0; i < nodes.size(); i++)
+		store.SetMode(i, StoreMode::Busy);
+	s->Leave();
+	ASSERT_TRUE(loop.until([&] { return s->leave_acked_us > 0; }));
+	for (auto &n : nodes)
+		n->process->Kill();
+	for (size_t i = 0; i < nodes.size(); i++)
+		Start(i, false);
+	loop.run_ms(1500);
+	int acknowledged = s->acknowledged;
+	s->AnnounceLate();
+	ASSERT_TRUE(loop.until([&] { return s->acknowledged > acknowledged; }));
+	for (size_t i = 0; i < nodes.size(); i++)
+		store.SetMode(i, StoreMode::Up);
+	ASSERT_TRUE(loop.until([&] { return Call(2, get("/open/1")).status == 200; }));
+	loop.run_ms(1000);
+	for (size_t i = 0; i < 60; i++) {
+		EXPECT_EQ(Call(i % 3, get("/open/1")).status, 200);
+		loop.run_ms(20);
+	}
+	for (const ServerRun &r : record.runs)
+		EXPECT_NE(r.server, s->id);
+}
+
 // A server that lives must not wait for the store.
 TEST_F(Platform, AServerIsUsedByANodeThatCannotReadTheStore)
 {
