--- a/review/common-3/standins.h
+++ b/review/common-3/standins.h
@@ -582,9 +582,10 @@
 {
       public:
 	Backend(const Machine &machine, Record &record, const std::string &id_, int slots,
-		int work_ms, double beat_s)
+		int work_ms, double beat_s, int cold_ms = 0)
 	    : id(id_), machine_(machine), record_(record), slots_(slots), work_ms_(work_ms),
-	      beat_ms_((int64_t)(beat_s * 1000)), born_ms_(WallMs()),
+	      beat_ms_((int64_t)(beat_s * 1000)), cold_until_ms_(NowMs() + cold_ms),
+	      born_ms_(WallMs()),
 	      server_(machine.app, [this](Stream &s, const Message &m) { Handle(s, m); })
 	{
 		server_.Start();
@@ -616,8 +617,10 @@
 		return "{\"service\":\"" + machine_.service + "\",\"address\":\"" +
 		       machine_.app.Text() + "\",\"zone\":\"" + machine_.zone +
 		       "\",\"version\":\"v1\",\"capacity\":" + std::to_string(slots_) +
-		       ",\"state\":\"" + state_ +
-		       "\",\"cold-remaining-s\":0,\"sequence\":" + std::to_string(++sequence_) +
+		       ",\"state\":\"" + state_ + "\",\"cold-remaining-s\":" +
+		       std::to_string((double)std::max<int64_t>(cold_until_ms_ - NowMs(), 0) /
+				      1000) +
+		       ",\"sequence\":" + std::to_string(++sequence_) +
 		       ",\"born\":" + std::to_string(born_ms_) + "}";
 	}
 	bool Announce(const std::string &body)
@@ -682,7 +685,9 @@
 			runs_.push_back({request, m.Field("Tenant"), m.Word(1), NowMs()});
 		}
 		record_.Line("server %s runs %s", id.c_str(), request.c_str());
-		for (int64_t end = NowMs() + work_ms_; NowMs() < end && !server_.IsStopping();)
+		int64_t begin = NowMs();
+		int work_ms = begin < cold_until_ms_ ? 2 * work_ms_ : work_ms_;
+		for (int64_t end = begin + work_ms; NowMs() < end && !server_.IsStopping();)
 			SleepMs(std::min<int64_t>(20, end - NowMs()));
 		{
 			std::lock_guard<std::mutex> hold(mutex_);
@@ -699,7 +704,7 @@
 	Machine machine_;
 	Record &record_;
 	int slots_, work_ms_, running_ = 0;
-	int64_t beat_ms_, born_ms_;
+	int64_t beat_ms_, cold_until_ms_, born_ms_;
 	std::string state_ = "ready";
 	std::atomic<uint64_t> sequence_{0};
 	bool is_acknowledged_ = false;
