--- a/review/common-3/standins.h
+++ b/review/common-3/standins.h
@@ -611,7 +611,25 @@
 		state_ = "draining";
 		return Announce(Notice()) ? NowMs() : 0;
 	}
-	// An announcement, and the sequence number of the last one.
+	// Leaves without having said that it drains, goes on serving, and announces itself no
+	// more. Returns the time of the acknowledgement, or 0.
+	int64_t Leave()
+	{
+		std::lock_guard<std::mutex> hold(beat_mutex_);
+		Stream s;
+		Message m;
+		int64_t until = NowMs() + 1000;
+
+		is_leaving_ = true;
+		return s.Connect(machine_.admin, 1000) &&
+				       s.Send("DELETE /snipescale/instances/" + id +
+						      " HTTP/1.1\r\nHost: x\r\n\r\n",
+					      until) &&
+				       s.Read(&m, until) == 1 && m.Status() / 100 == 2
+			       ? NowMs()
+			       : 0;
+	}
+	// The body of the next announcement.
 	std::string Notice()
 	{
 		return "{\"service\":\"" + machine_.service + "\",\"address\":\"" +
@@ -656,6 +674,8 @@
 				continue;
 			next = NowMs() + beat_ms_;
 			std::lock_guard<std::mutex> hold(beat_mutex_);
+			if (is_leaving_)
+				break;
 			if (Announce(Notice()) != is_acknowledged_) {
 				is_acknowledged_ = !is_acknowledged_;
 				record_.Line("server %s announcement %s", id.c_str(),
@@ -707,7 +727,7 @@
 	int64_t beat_ms_, cold_until_ms_, born_ms_;
 	std::string state_ = "ready";
 	std::atomic<uint64_t> sequence_{0};
-	bool is_acknowledged_ = false;
+	bool is_acknowledged_ = false, is_leaving_ = false;
 	std::atomic<bool> is_over_{false};
 	std::mutex mutex_, beat_mutex_;
 	std::vector<Run> runs_;
