--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -1,6 +1,6 @@
-// A ping without "born" comes from another writer. Later the backend server that it names
-// leaves. Checks that no request reaches that server after drain-s from the acknowledgement of
-// its leaving.
+// The store is away for a moment and comes back from an older copy; the operator writes its
+// changes again, and then takes a key away. Checks that no request with that key runs later
+// than revoke-s after the acknowledgement.
 #include "common-3/standins.h"
 
 using namespace review;
@@ -8,48 +8,55 @@
 namespace
 {
 
-const int kClients = 10, kWorkMs = 100, kBudgetMs = 5000;
-const int64_t kDrainMs = 2000;	// drain-s
-const int64_t kServesMs = 5000; // of the leaving server, after the acknowledgement
+const int kWorkMs = 100, kBudgetMs = 5000, kIntervalMs = 50;
+const int64_t kAwayMs = 2000;
+const int64_t kRevokeMs = 5000;	 // revoke-s
+const int64_t kWatchedMs = 7000; // after that
 
-void SendRequests(const Machine &at, int client, std::atomic<bool> &is_over, Record &record,
-		  std::atomic<int> &served)
+std::string Tables(int version, double timeout_s, bool has_key_1)
 {
-	for (int n = 0; !is_over; n++) {
-		std::string id = "c" + std::to_string(client) + "-" + std::to_string(n);
-		int64_t until = NowMs() + kBudgetMs;
-		Stream s;
-		Message m;
-		int ret = -1;
+	char route[128];
 
-		if (s.Connect(at.outbound, 1000) &&
-		    s.Send(Request("POST", "/settle/" + id, id, kBudgetMs, "key-1", "amount=5"),
-			   until))
-			ret = s.Read(&m, until);
-		record.Line("client %d gets %s: %d", client, id.c_str(),
-			    ret == 1 ? m.Status() : ret);
-		served += ret == 1 && m.Status() == 200;
-		SleepMs(100);
-	}
+	snprintf(route, sizeof(route),
+		 "\"r-1\",\"/settle/\",\"non_idempotent\",%g,2,2,false,\"paybook\"", timeout_s);
+	return Manifest(version, {route}, {"desk", "paybook"},
+			{has_key_1 ? "\"one\",[\"key-0\",\"key-1\"]" : "\"one\",[\"key-0\"]",
+			 "\"two\",[\"key-2\"]"});
 }
 
+struct Sent {
+	std::string key;
+	int64_t at_ms;
+	int status;
+};
+
 } // namespace
 
 int main(int argc, char **argv)
 {
 	Record record(argc > 1 ? argv[1] : "record.txt");
 	Fleet fleet(record, {{"desk", "suva-a"}, {"paybook", "suva-b"}, {"paybook", "nadi"}});
+	Store &store = *fleet.store;
 	std::vector<std::unique_ptr<Backend>> servers;
-	std::vector<std::thread> clients;
+	std::vector<std::thread> requests;
+	std::mutex mutex;
+	std::map<std::string, Sent> all;
+	std::set<std::string> ran;
 	std::atomic<bool> is_over{false};
-	std::atomic<int> served{0};
-	int late = 0;
+	int late = 0, others = 0;
 
-	fleet.store->Write("config", "main",
-			   Manifest(3,
-				    {"\"r-1\",\"/settle/\",\"non_idempotent\",6,2,2,false,"
-				     "\"paybook\""},
-				    {"desk", "paybook"}, {"\"one\",[\"key-1\"]"}));
+	store.on_call = [&](const std::string &call, int status) {
+		if (status != 200 || call.compare(0, 4, "GET ") != 0)
+			record.Line("store: %s %d", call.c_str(), status);
+	};
+	auto write = [&](int version, double timeout_s, bool has_key_1) {
+		uint64_t at =
+			store.Write("config", "main", Tables(version, timeout_s, has_key_1));
+		record.Line("operator writes manifest %d (%s key-1): acknowledged, revision "
+			    "%llu",
+			    version, has_key_1 ? "with" : "without", (unsigned long long)at);
+	};
+	write(3, 6, true);
 	for (size_t i = 0; i < fleet.machines.size(); i++) {
 		fleet.Start(i, true);
 		servers.push_back(std::make_unique<Backend>(fleet.machines[i], record,
@@ -58,43 +65,78 @@
 	}
 	if (!fleet.WaitKnown(0, "i-2") || !fleet.WaitKnown(0, "i-3"))
 		return 2;
-	for (int i = 0; i < kClients; i++)
-		clients.emplace_back([&, i] {
-			SendRequests(fleet.machines[0], i, is_over, record, served);
-		});
-	SleepMs(4000);
+	auto send = [&](const std::string &id, const std::string &key, int node) {
+		Sent r = {key, NowMs(), -1};
+		int64_t until = NowMs() + kBudgetMs;
+		Stream s;
+		Message m;
+
+		if (s.Connect(fleet.machines[(size_t)node].outbound, 1000) &&
+		    s.Send(Request("POST", "/settle/" + id, id, kBudgetMs, key, "amount=5"),
+			   until) &&
+		    s.Read(&m, until) == 1)
+			r.status = m.Status();
+		record.Line("client with %s gets %s: %d", key.c_str(), id.c_str(), r.status);
+		std::lock_guard<std::mutex> hold(mutex);
+		all[id] = r;
+	};
+	std::thread clients([&] {
+		for (int n = 0; !is_over; n++, SleepMs(kIntervalMs))
+			requests.emplace_back(send, "q" + std::to_string(n),
+					      n % 2 ? "key-1" : "key-2", n % 3);
+	});
+	SleepMs(8000);
 
-	Backend &leaving = *servers[1];
+	// Some seconds before the store is away.
+	store.Copy();
+	uint64_t copied = store.Revision();
+	record.Line("revision of the copy: %llu", (unsigned long long)copied);
+	write(6, 5, true);
+	record.Line("server i-3 leaves: %s",
+		    servers[2]->Drain() ? "acknowledged" : "not acknowledged");
+	SleepMs(2000);
+	int changes = 1; // of the operator after the return
 	if (HasTrouble()) {
-		std::string ping = "{\"service\":\"paybook\",\"address\":\"" +
-				   fleet.machines[1].app.Text() +
-				   "\",\"zone\":\"suva-b\",\"version\":\"v1\",\"capacity\":60,"
-				   "\"state\":\"ready\",\"cold-remaining-s\":0,"
-				   "\"sequence\":1000000}";
-		bool is_acked = leaving.Announce(ping);
-		record.Line("another writer sends %s: %s", ping.c_str(),
-			    is_acked ? "acknowledged" : "rejected");
+		store.Stop();
+		uint64_t lost = store.Revision() - copied;
+		record.Line("store is away, %llu changes are newer than the copy",
+			    (unsigned long long)lost);
+		changes = (int)std::max<uint64_t>(lost - 1, 1);
+		SleepMs(kAwayMs);
+		store.Restore();
+		store.Start();
+		record.Line("store is back from the copy, revision %llu",
+			    (unsigned long long)store.Revision());
+		write(6, 5, true);
 	}
-	SleepMs(4000);
-	int64_t acked = leaving.Drain();
-	record.Line("server i-2 leaves: %s", acked ? "acknowledged" : "not acknowledged");
-	SleepMs(kServesMs);
-	auto runs = leaving.Runs();
-	record.Line("server i-2 ends");
-	leaving.End();
-	SleepMs(1000);
+	int64_t acked = 0;
+	for (int i = 0; i < changes; i++) {
+		write(9 + 3 * i, 5 + 0.1 * i, false);
+		if (!acked)
+			acked = NowMs();
+	}
+	SleepMs(kRevokeMs + kWatchedMs);
 	is_over = true;
-	for (auto &c : clients)
-		c.join();
-	for (const auto &r : runs)
-		if (acked && r.at_ms > acked + kDrainMs) {
-			late++;
-			record.Line("%s reached i-2 %.3f s after the acknowledgement",
-				    r.id.c_str(), (double)(r.at_ms - acked) / 1000);
+	clients.join();
+	for (auto &r : requests)
+		r.join();
+	for (auto &s : servers)
+		for (const auto &r : s->Runs())
+			ran.insert(r.id);
+	for (const auto &r : all) {
+		if (!ran.count(r.first) || r.second.at_ms <= acked + kRevokeMs)
+			continue;
+		if (r.second.key != "key-1") {
+			others++;
+			continue;
 		}
-	record.Result("requests that reached the leaving server later than drain-s: " +
-		      std::to_string(late) + "; served in all: " + std::to_string(served));
+		late++;
+		record.Line("%s ran with key-1, sent %.3f s after the acknowledgement",
+			    r.first.c_str(), (double)(r.second.at_ms - acked) / 1000);
+	}
+	record.Result("requests that ran with the key, sent later than revoke-s: " +
+		      std::to_string(late) + "; with another key: " + std::to_string(others));
 	for (auto &s : servers)
 		s->End();
-	return !acked || !served ? 2 : late > 0;
+	return !others ? 2 : late > 0;
 }
--- a/review/common-3/standins.h
+++ b/review/common-3/standins.h
@@ -744,14 +744,16 @@
 	    : record_(record)
 	{
 		char dir[] = "/tmp/review-XXXXXX";
-		int net = 0;
+		int net = 0, tries = 0;
 
 		signal(SIGPIPE, SIG_IGN);
 		if (!mkdtemp(dir))
 			exit(2);
 		dir_ = dir;
-		while (net < 200 && !AreFree(net = net + 1, (int)machines.size()))
-			;
+		// Cases may run side by side.
+		do
+			net = (int)(getpid() + tries) % 200 + 1;
+		while (!AreFree(net, (int)machines.size()) && ++tries < 200);
 		for (size_t i = 0; i < machines.size(); i++) {
 			Machine m;
 			m.ip = Ip(net, (int)i);
