--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -1,7 +1,7 @@
 // The store is away for a moment and comes back from an older copy; the operator writes its
 // changes again, and then takes a key away. Checks that no request with that key runs later
 // than revoke-s after the acknowledgement.
-#include "common-3/standins.h"
+#include "11/standins.h"
 
 using namespace review;
 
--- a/review/15/case.cc
+++ b/review/15/case.cc
@@ -1,7 +1,7 @@
 // A node is stopped as planned while the backend server of the route is replaced: the new one
 // is slow at first. Checks that requests that the stopping node takes later than 3 s after the
 // signal and passes on are not broken off while their server is at work.
-#include "common-3/standins.h"
+#include "11/standins.h"
 
 using namespace review;
 
