session test: freeze the nodes once all requests are at their servers

The test stopped all nodes of the service 2 ms after it sent the last request. A request that is at no server by then is rejected for want of one, which is correct: it has not begun.

The test now waits until the servers have begun all of them.

--- a/tests/process/session_test.cc
+++ b/tests/process/session_test.cc
@@ -104,6 +104,8 @@
 {
 	start(200);
 	send(40);
+	// A request that is at no server yet may be rejected while all of them are frozen.
+	ASSERT_TRUE(loop.until([&] { return record.count.size() == open.size(); }));
 	kill(nodes[1]->process->pid(), SIGSTOP);
 	kill(nodes[3]->process->pid(), SIGSTOP);
 	loop.run_ms(1500);
