tests: print the failed cases and their messages after a run

scripts/print_failures.sh prints it once more at the end: for each failed test the failed cases with their messages, and a case that did not end.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,11 +11,18 @@
 cmake --build "$build" -j "$jobs"
 scripts/sanitize.sh
 
+run_tests() {
+	if ! ctest --test-dir "$build" -j "$jobs" --output-on-failure "$@"; then
+		scripts/print_failures.sh "$build"
+		return 1
+	fi
+}
+
 known_red=$(scripts/known_red.sh)
 if [ -n "$known_red" ]; then
 	echo "Known failures, see KNOWN-RED.txt (the result is not affected):"
 	ctest --test-dir "$build" -R "^($known_red)\$" --output-on-failure || true
-	ctest --test-dir "$build" -j "$jobs" --output-on-failure -E "^($known_red)\$" "$@"
+	run_tests -E "^($known_red)\$" "$@"
 else
-	ctest --test-dir "$build" -j "$jobs" --output-on-failure "$@"
+	run_tests "$@"
 fi
