store: a revision is a position only in the era that gave it out

Cause: a node watched the tables from a revision of before the drill, which the store had given out again for other changes. The store reported no change since, and the node took that as proof that its tables were the newest, which keeps keys in force.

Change: the client of the store reads the era (Store-Era) from each answer. A watch that is answered in another era than that of its position ends as one whose history is lost, whatever it reports; the tables are then read anew, at nodes that are no readers only if the readers do not confirm them meanwhile. An answer of an earlier era than the newest seen counts as lost, and a list of pages of two eras fails. Listeners are told of a new era: a node then looks for its own entry in a list that is not stale, counts the event, and logs it.

It works whatever the revisions are, since the era differs where the number does not. A store without eras is read as before.

The stand-in of the store learns the drill.

--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -1,6 +1,7 @@
 #include "gateway/sync.h"
 
 #include <event2/event.h>
+#include <stddef.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -26,6 +27,10 @@
 /* Two nodes transfer tables of one megabyte in a fraction of this time. */
 #define FETCH_TIMEOUT_US 1000000
 
+/* A node that is no reader leaves a read of tables that it lost its place in to the readers for
+ * this long. */
+#define LOST_PLACE_WAIT_US 200000
+
 static void read_tables(struct snipe_sync *s);
 static void register_node(struct snipe_sync *s);
 
@@ -182,7 +187,12 @@
 		snipe_log(SNIPE_LOG_INFO, "store_history_lost", "version=%llu",
 			  (unsigned long long)s->version);
 		s->version = 0;
-		read_tables(s);
+		/* All nodes may lose their place at once. The others leave the next read to the
+		 * readers, if these confirm the tables meanwhile. */
+		if (snipe_directory_is_reader(s->config.directory))
+			read_tables(s);
+		else
+			set_timer(&s->read_timer, LOST_PLACE_WAIT_US);
 		return;
 	}
 	record_store_failure(s, s->version ? "watch" : "get", err, s->read_sent_us);
@@ -424,6 +434,17 @@
 	snipe_peer_reply(s->config.peers, from, &m, NULL, 0);
 }
 
+/* The entry of this node may be gone, and stale lists may be of the earlier era. */
+static void on_era_changed(struct snipe_era_listener *l, uint64_t era)
+{
+	struct snipe_sync *s =
+		(struct snipe_sync *)((char *)l - offsetof(struct snipe_sync, era_listener));
+
+	(void)era;
+	snipe_counters_add(s->config.counters, s->count_eras, 1);
+	s->has_listed_self = 0;
+}
+
 void snipe_sync_init(struct snipe_sync *s, const struct snipe_sync_config *config)
 {
 	struct snipe_counters *c = config->counters;
@@ -434,10 +455,13 @@
 	s->count_reads = snipe_counters_get(c, "store_reads_total", "");
 	s->count_read_errors = snipe_counters_get(c, "store_errors_total", "");
 	s->count_writes = snipe_counters_get(c, "store_writes_total", "");
+	s->count_eras = snipe_counters_get(c, "store_era_changes_total", "");
 	s->gauge_reachable = snipe_counters_get(c, "store_reachable", "");
 	event_assign(&s->read_timer, config->base, -1, 0, on_read_timer, s);
 	event_assign(&s->node_timer, config->base, -1, 0, on_node_timer, s);
 	snipe_peer_on(config->peers, SNIPE_MSG_FETCH, on_fetch_request, s);
+	s->era_listener.era_changed = on_era_changed;
+	config->store->ops->listen(config->store, &s->era_listener);
 	read_tables(s);
 	register_node(s);
 }
@@ -448,6 +472,7 @@
 
 	if (!s->rng)
 		return;
+	LIST_REMOVE(&s->era_listener, link);
 	if (s->read_handle > 0)
 		store->ops->cancel(store, s->read_handle);
 	if (s->node_handle > 0)
--- a/libs/gateway/sync.h
+++ b/libs/gateway/sync.h
@@ -46,6 +46,7 @@
 /* Fields are private. */
 struct snipe_sync {
 	struct snipe_sync_config config;
+	struct snipe_era_listener era_listener;
 	GRand *rng;
 	struct snipe_routing *routing; /* NULL: no tables yet */
 	uint64_t version; /* of the stored object; 0: unknown, so get before watching */
@@ -72,7 +73,7 @@
 	int64_t fetch_sent_us;
 	uint64_t fetch_version;	       /* version expected from the last fetch */
 	uint64_t failed_fetch_version; /* the same for the last fetch that failed */
-	int count_reads, count_read_errors, count_writes, gauge_reachable;
+	int count_reads, count_read_errors, count_writes, count_eras, gauge_reachable;
 };
 
 void snipe_sync_init(struct snipe_sync *s, const struct snipe_sync_config *config);
--- a/libs/platform/http_store.c
+++ b/libs/platform/http_store.c
@@ -129,7 +129,7 @@
 		snipe_store_call_fail(call, status_error(call, response->status));
 }
 
-static const struct snipe_store_dialect dialect = {write_request, take_response, NULL};
+static const struct snipe_store_dialect dialect = {write_request, take_response, NULL, NULL};
 
 void snipe_http_store_init(struct snipe_store_client *c, struct event_base *base,
 			   const struct snipe_address *address)
--- a/libs/platform/object_store.h
+++ b/libs/platform/object_store.h
@@ -9,6 +9,7 @@
 
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/queue.h>
 
 #include "base/error.h"
 
@@ -24,6 +25,18 @@
 	size_t len;
 };
 
+/*
+ * A store may return from an older copy of itself, without what was written since. Versions go
+ * back with it and are given out again for other changes, so one of an earlier era says nothing
+ * of a later one. A watch from such a version ends with SNIPE_ERR_HISTORY_LOST.
+ */
+struct snipe_era_listener {
+	LIST_ENTRY(snipe_era_listener) link;
+	/* An answer of a newer era than all before it has arrived; its call ends afterwards.
+	 * Not called for the first era that the process sees. */
+	void (*era_changed)(struct snipe_era_listener *l, uint64_t era);
+};
+
 /* One entry of a list; valid during the call. */
 struct snipe_object_entry {
 	const char *name;
@@ -69,6 +82,9 @@
 	 * holds, and leaves watches as they are. */
 	int (*get_once)(struct snipe_object_store *store, const char *kind, const char *name,
 			int timeout_ms, snipe_object_cb cb, void *arg);
+	/* Adds a listener, which stays until it is removed with LIST_REMOVE or the store
+	 * finishes. */
+	void (*listen)(struct snipe_object_store *store, struct snipe_era_listener *l);
 };
 
 /*
--- a/libs/platform/store_client.c
+++ b/libs/platform/store_client.c
@@ -30,6 +30,7 @@
 	struct attempt first, again; /* again: sent because the answer to first is overdue */
 	char *text;		     /* of the request that is open; NULL for a write */
 	size_t text_len;
+	uint64_t era; /* of the first response; 0: none yet */
 	struct event overdue, deadline;
 	void *state;
 	snipe_object_cb cb;
@@ -133,18 +134,82 @@
 	return snipe_store_call_lost_error(call);
 }
 
+static uint64_t response_era(const struct snipe_store_client *c,
+			     const struct snipe_h1_message *response)
+{
+	return c->dialect->read_era ? c->dialect->read_era(response) : 0;
+}
+
+static void tell_listeners(struct snipe_store_client *c)
+{
+	struct snipe_era_listener *l = LIST_FIRST(&c->listeners), *next;
+
+	for (; l; l = next) {
+		next = LIST_NEXT(l, link);
+		l->era_changed(l, c->era);
+	}
+}
+
+static void log_stale(struct snipe_store_client *c, const struct snipe_store_call *call,
+		      uint64_t era)
+{
+	unsigned suppressed;
+
+	if (snipe_log_allow(&c->stale_lines, snipe_now_us(), SNIPE_LOG_LINES_PER_S,
+			    &suppressed))
+		snipe_log(SNIPE_LOG_WARNING, "store_answer_of_earlier_era",
+			  "kind=%s name=%s era=%llu newest_era=%llu suppressed=%u", call->kind,
+			  call->name ? call->name : "", (unsigned long long)era,
+			  (unsigned long long)c->era, suppressed);
+}
+
+/* Takes note of the era of a response. Returns whether the response is of the newest one. */
+static int update_era(struct snipe_store_client *c, const struct snipe_store_call *call,
+		      uint64_t era)
+{
+	uint64_t previous = c->era;
+
+	if (!era || era == previous)
+		return 1;
+	if (era < previous) {
+		log_stale(c, call, era);
+		return 0;
+	}
+	c->era = era;
+	if (previous) {
+		snipe_log(SNIPE_LOG_WARNING, "store_era_changed", "previous_era=%llu era=%llu",
+			  (unsigned long long)previous, (unsigned long long)era);
+		tell_listeners(c);
+	}
+	return 1;
+}
+
+/* Whether the response continues the call; its earlier pages may be of an earlier era. */
+static int is_of_call(struct snipe_store_call *call)
+{
+	if (!call->era)
+		call->era = call->client->era;
+	return call->era == call->client->era;
+}
+
 static void on_done(void *arg, enum snipe_h1_result result,
 		    const struct snipe_h1_message *response)
 {
 	struct attempt *a = arg;
 	struct snipe_store_call *call = a->call;
 	struct attempt *other = a == &call->first ? &call->again : &call->first;
+	struct snipe_store_client *c = call->client;
 
 	a->http = NULL;
+	if (result == SNIPE_H1_COMPLETE && !update_era(c, call, response_era(c, response)))
+		result = SNIPE_H1_LOST;
 	if (result == SNIPE_H1_COMPLETE) {
 		cancel_attempt(other);
 		event_del(&call->overdue);
-		call->client->dialect->take_response(call->client, call, response);
+		if (is_of_call(call))
+			c->dialect->take_response(c, call, response);
+		else
+			snipe_store_call_fail(call, snipe_store_call_lost_error(call));
 	} else if (!other->http) {
 		snipe_store_call_fail(call, result_error(call, result));
 	}
@@ -332,6 +397,13 @@
 	}
 }
 
+static void client_listen(struct snipe_object_store *store, struct snipe_era_listener *l)
+{
+	struct snipe_store_client *c = (struct snipe_store_client *)store;
+
+	LIST_INSERT_HEAD(&c->listeners, l, link);
+}
+
 static void client_finish(struct snipe_object_store *store)
 {
 	struct snipe_store_client *c = (struct snipe_store_client *)store;
@@ -352,6 +424,7 @@
 	.put = client_put,
 	.cancel = client_cancel,
 	.finish = client_finish,
+	.listen = client_listen,
 };
 
 void snipe_store_client_init(struct snipe_store_client *c,
@@ -362,6 +435,7 @@
 	c->store.ops = &ops;
 	c->dialect = dialect;
 	c->base = base;
+	LIST_INIT(&c->listeners);
 	snipe_h1_pool_init(&c->pool, base);
 	snipe_h1_pool_set_address(&c->pool, address);
 }
--- a/libs/platform/store_client.h
+++ b/libs/platform/store_client.h
@@ -6,6 +6,9 @@
  * A connection may stop carrying data without a reset. When an answer is half a second overdue,
  * no connection that is open is used for further calls, and a read is sent once more on a new
  * one; the first answer counts.
+ *
+ * An answer of an earlier era than the newest one seen counts as lost: its versions mean
+ * nothing any more, and what it says was written may be gone.
  */
 #ifndef SNIPE_STORE_CLIENT_H
 #define SNIPE_STORE_CLIENT_H
@@ -53,6 +56,9 @@
 			      const struct snipe_h1_message *response);
 	/* Releases what snipe_store_call_set_state set; NULL if that is not used. */
 	void (*free_state)(void *state);
+	/* Returns the era that a response of any status states, 0 if it states none. NULL for a
+	 * store without eras. */
+	uint64_t (*read_era)(const struct snipe_h1_message *response);
 };
 
 /* Fields are private but for the limits of the pool. */
@@ -63,7 +69,9 @@
 	struct snipe_h1_pool pool;
 	struct snipe_store_call *calls;
 	int next_handle;
-	struct snipe_log_limit overdue_lines;
+	uint64_t era; /* newest one of all responses; 0: none has stated one */
+	LIST_HEAD(snipe_era_listeners, snipe_era_listener) listeners;
+	struct snipe_log_limit overdue_lines, stale_lines;
 };
 
 void snipe_store_client_init(struct snipe_store_client *c,
--- a/tests/adapter/store_test.cc
+++ b/tests/adapter/store_test.cc
@@ -22,6 +22,7 @@
 	struct snipe_adapter_store client;
 	std::vector<std::string> requests, bodies;
 	std::vector<std::pair<int, std::string>> responses; /* in order; status 0: none sent */
+	std::vector<std::string> eras; /* that they state, in order; empty: none */
 	int count = 0, err = 1;
 	uint64_t version = 0;
 	std::string value;
@@ -60,6 +61,12 @@
 		r.status = t->responses[n].first;
 		r.body = t->responses[n].second.data();
 		r.body_len = t->responses[n].second.size();
+		struct snipe_h1_header era = {{"Store-Era", 9}, {nullptr, 0}};
+		if (n < t->eras.size() && !t->eras[n].empty()) {
+			era.value = {t->eras[n].data(), t->eras[n].size()};
+			r.headers = &era;
+			r.header_count = 1;
+		}
 		snipe_h1_respond(req, &r);
 	}
 	static void on_object(void *arg, int err, const struct snipe_object *o)
@@ -154,6 +161,87 @@
 }
 
 // get_once must neither list the whole kind nor move the cursor of a watch.
+// Guards against a revision of an earlier era taken as a position in this one: the store has
+// given it out again, and reports no change since.
+TEST_F(Store, AWatchThatIsAnsweredInANewEraHasLostItsHistory)
+{
+	responses = {{200, page(object("main", 7, "1"), false, 500)},
+		     {200, "{\"events\":[],\"as-of\":500}"},
+		     {200, "{\"events\":[],\"as-of\":500}"},
+		     {200, page(object("main", 499, "2"), false, 500)},
+		     {200, "{\"events\":[],\"as-of\":500}"}};
+	eras = {"4", "4", "5", "5", "5"};
+	get();
+	watch(7);
+	EXPECT_EQ(err, SNIPE_ERR_STALE);
+	watch(7);
+	EXPECT_EQ(err, SNIPE_ERR_HISTORY_LOST);
+	get();
+	EXPECT_EQ(version, 499u);
+	watch(499);
+	EXPECT_EQ(err, SNIPE_ERR_STALE);
+}
+
+// Guards against a watch that continues in an era which another call has seen first.
+TEST_F(Store, AWatchAfterAnotherCallSawTheNewEraHasLostItsHistory)
+{
+	responses = {{200, page(object("main", 7, "1"), false, 500)},
+		     {404, "{}"},
+		     {200, "{\"events\":[],\"as-of\":500}"}};
+	eras = {"4", "5", "5"};
+	get();
+	count = 0;
+	client.http.store.ops->get_once(&client.http.store, "nodes", "n-1", 300, on_object,
+					this);
+	ASSERT_TRUE(loop.until([&] { return count > 0; }));
+	EXPECT_EQ(err, SNIPE_ERR_NOT_FOUND);
+	watch(7);
+	EXPECT_EQ(err, SNIPE_ERR_HISTORY_LOST);
+}
+
+// Guards against an answer of an earlier era that arrives late and is believed.
+TEST_F(Store, AnAnswerOfAnEarlierEraIsLost)
+{
+	std::string all = page(object("main", 7, "1"), false, 500);
+
+	responses = {{200, all}, {200, all}, {200, object("n-1", 9, "1")}, {200, all}};
+	eras = {"5", "4", "4", ""};
+	get();
+	EXPECT_EQ(err, 0);
+	get();
+	EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE);
+	put(0);
+	EXPECT_EQ(err, SNIPE_ERR_UNKNOWN);
+	get();
+	EXPECT_EQ(err, 0) << "not every store states its era";
+}
+
+// Guards against a list that is put together from pages of two eras.
+TEST_F(Store, PagesOfTwoErasAreNoList)
+{
+	responses = {{200, page(object("aa", 3, "1"), true, 500)},
+		     {200, page(object("main", 7, "1"), false, 500)}};
+	eras = {"4", "5"};
+	get();
+	EXPECT_EQ(err, SNIPE_ERR_UNAVAILABLE);
+}
+
+TEST_F(Store, ListenersAreToldOfEachNewEraOnce)
+{
+	static std::vector<uint64_t> seen;
+	struct snipe_era_listener l = {};
+	std::string all = page(object("main", 7, "1"), false, 500);
+
+	seen.clear();
+	l.era_changed = [](struct snipe_era_listener *, uint64_t era) { seen.push_back(era); };
+	client.http.store.ops->listen(&client.http.store, &l);
+	responses = {{200, all}, {200, all}, {503, "{}"}, {200, all}, {200, all}, {200, all}};
+	eras = {"4", "4", "5", "5", "many", "7"};
+	for (size_t i = 0; i < responses.size(); i++)
+		get();
+	EXPECT_EQ(seen, (std::vector<uint64_t>{5, 7})) << "the first era is no change";
+}
+
 TEST_F(Store, GetOnceReadsOneObjectAndKeepsTheWatchCursor)
 {
 	auto get_once = [&] {
--- a/tests/gateway/sync_test.cc
+++ b/tests/gateway/sync_test.cc
@@ -390,3 +390,41 @@
 	run_with_readers(1000);
 	EXPECT_EQ(store.calls_of("config").size(), reads + 2);
 }
+
+// Guards against a node whose entry is gone with the store's return from an older copy and is
+// never written again, since lists may be stale.
+TEST_F(Sync, RegistersAgainIfItsEntryIsGoneInANewEra)
+{
+	char own[SNIPE_ADDRESS_TEXT_SIZE];
+
+	snipe_address_format(&settings.peer_listen, own);
+	answer_node_call(0);
+	expect_node_call(2, "list");
+	answer_node_call(0, own);
+	ASSERT_EQ(sync.has_listed_self, 1);
+	store.change_era(2);
+	event_active(&sync.node_timer, EV_TIMEOUT, 0);
+	expect_node_call(3, "list");
+	answer_node_call(0);
+	expect_node_call(4, "put");
+	EXPECT_EQ(last("nodes").version, 0u);
+}
+
+// Guards against a read of all tables by every node at once when all lose their place.
+TEST_F(Sync, ANonReaderLeavesTheReadAfterALostHistoryToTheReaders)
+{
+	start_as_non_reader();
+	size_t reads = store.calls_of("config").size();
+	confirmed_age_us = 1700000;
+	ASSERT_TRUE(run_with_readers_until(
+		[&] { return store.calls_of("config").size() == reads + 1; }));
+	confirmed_age_us = 0;
+	answer(SNIPE_ERR_HISTORY_LOST);
+	run_with_readers(700);
+	EXPECT_EQ(store.calls_of("config").size(), reads + 1);
+	// If these confirm nothing, it reads the tables itself.
+	confirmed_age_us = 1700000;
+	ASSERT_TRUE(run_with_readers_until(
+		[&] { return store.calls_of("config").size() == reads + 2; }));
+	EXPECT_EQ(last("config").what, "get");
+}
--- a/tests/node/control_task_test.cc
+++ b/tests/node/control_task_test.cc
@@ -134,6 +134,7 @@
 							 MemoryStore::cancel,
 							 MemoryStore::finish,
 							 nullptr,
+							 nullptr,
 							 nullptr};
 
 struct TestNode {
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -55,6 +55,7 @@
 		states--;
 		delete static_cast<int *>(state);
 	},
+	nullptr,
 };
 
 struct StoreClient : testing::Test {
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -14,7 +14,8 @@
 static const char OBJECTS[] = "/snipescale/objects/";
 
 static void Respond(struct snipe_h1_request *req, int status, const std::string &body,
-		    const std::vector<std::pair<std::string, std::string>> &headers = {})
+		    const std::vector<std::pair<std::string, std::string>> &headers = {},
+		    bool close = false)
 {
 	struct snipe_h1_response r = {};
 	std::vector<struct snipe_h1_header> list;
@@ -27,6 +28,7 @@
 	r.header_count = (int)list.size();
 	r.body = body.data();
 	r.body_len = body.size();
+	r.close = close;
 	snipe_h1_respond(req, &r);
 }
 
@@ -93,10 +95,37 @@
 	watches_.clear();
 	for (auto &w : waiting) {
 		w.req->callback_data = nullptr;
-		Respond(w.req, 410, "{}");
+		Answer(w.req, 410, "{}");
 	}
 }
 
+void FakeStore::Answer(struct snipe_h1_request *req, int status, const std::string &body,
+		       bool close)
+{
+	Respond(req, status, body, {{"Store-Era", std::to_string(era_)}}, close);
+}
+
+void FakeStore::Copy()
+{
+	copy_ = {kinds_, history_, revision_, floor_};
+}
+
+void FakeStore::Restore()
+{
+	auto waiting = watches_;
+
+	watches_.clear();
+	for (auto &w : waiting) {
+		w.req->callback_data = nullptr;
+		Answer(w.req, 503, "{}", true);
+	}
+	kinds_ = copy_.kinds;
+	history_ = copy_.history;
+	revision_ = copy_.revision;
+	floor_ = copy_.floor;
+	era_++;
+}
+
 std::string FakeStore::ObjectJson(const std::string &kind, const std::string &name) const
 {
 	const Object &o = kinds_.at(kind).at(name);
@@ -119,8 +148,8 @@
 	if (events.empty() && !at_end)
 		return false;
 	w.req->callback_data = nullptr;
-	Respond(w.req, 200,
-		"{\"events\":[" + events + "],\"as-of\":" + std::to_string(revision_) + "}");
+	Answer(w.req, 200,
+	       "{\"events\":[" + events + "],\"as-of\":" + std::to_string(revision_) + "}");
 	return true;
 }
 
@@ -174,10 +203,10 @@
 	req->callback_data = port;
 	switch (port->mode) {
 	case StoreMode::Busy:
-		Respond(req, 503, "{}");
+		s->Answer(req, 503, "{}");
 		return;
 	case StoreMode::Many:
-		Respond(req, 429, "{}");
+		s->Answer(req, 429, "{}");
 		return;
 	case StoreMode::Silent:
 		return;
@@ -228,15 +257,15 @@
 
 	if (!name.empty()) {
 		bool exists = Has(kind, name);
-		Respond(req, exists ? 200 : 404, exists ? ObjectJson(kind, name) : "{}");
+		Answer(req, exists ? 200 : 404, exists ? ObjectJson(kind, name) : "{}");
 		return;
 	}
 	if (query.count("watch")) {
 		uint64_t from = strtoull(query.at("watch").c_str(), nullptr, 10);
 		int wait = query.count("wait-ms") ? atoi(query.at("wait-ms").c_str()) : 0;
 		Watch w = {req, kind, from, snipe_now_us() + wait * 1000};
-		if (from < floor_)
-			Respond(req, 410, "{}");
+		if (from < floor_ || from > revision_)
+			Answer(req, 410, "{}");
 		else if (!AnswerWatch(w, false))
 			watches_.push_back(w);
 		return;
@@ -250,9 +279,9 @@
 		}
 		items += std::string(items.empty() ? "" : ",") + ObjectJson(kind, o.first);
 	}
-	Respond(req, 200,
-		"{\"items\":[" + items + "],\"has-more\":" + (more ? "true" : "false") +
-			",\"as-of\":" + std::to_string(revision_) + "}");
+	Answer(req, 200,
+	       "{\"items\":[" + items + "],\"has-more\":" + (more ? "true" : "false") +
+		       ",\"as-of\":" + std::to_string(revision_) + "}");
 }
 
 void FakeStore::HandleWrite(struct snipe_h1_request *req, const std::string &kind,
@@ -270,13 +299,13 @@
 	if (req->message.method == HTTP_POST
 		    ? exists
 		    : !exists || (revision && revision != kinds_[kind][name].revision)) {
-		Respond(req, exists ? 409 : 404, exists ? ObjectJson(kind, name) : "{}");
+		Answer(req, exists ? 409 : 404, exists ? ObjectJson(kind, name) : "{}");
 	} else {
 		Write(kind, name, spec ? spec : "null");
 		if (lose_writes_ > 0) {
 			lose_writes_--; // done, and never answered
 		} else {
-			Respond(req, 200, ObjectJson(kind, name));
+			Answer(req, 200, ObjectJson(kind, name));
 		}
 	}
 	free(spec);
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -51,6 +51,10 @@
 	bool Has(const std::string &kind, const std::string &name) const;
 	// Forgets what happened and cuts the watches that wait.
 	void DropHistory();
+	// Keeps a copy of all objects, and returns to it: what was written since is gone, and
+	// its revisions are given out again. Ends the connections.
+	void Copy();
+	void Restore();
 	// In the order of arrival.
 	std::vector<StoreCall> calls;
 
@@ -84,6 +88,8 @@
 	void HandleWrite(struct snipe_h1_request *req, const std::string &kind,
 			 const std::string &name);
 	bool AnswerWatch(const Watch &w, bool at_end);
+	void Answer(struct snipe_h1_request *req, int status, const std::string &body,
+		    bool close = false);
 	std::string ObjectJson(const std::string &kind, const std::string &name) const;
 	Loop &loop_;
 	std::vector<std::unique_ptr<Port>> ports_;
@@ -91,7 +97,12 @@
 	std::vector<Change> history_;
 	std::vector<Watch> watches_;
 	std::vector<std::pair<int64_t, struct snipe_h1_request *>> delayed_;
-	uint64_t revision_ = 10, floor_ = 0;
+	struct Content {
+		std::map<std::string, std::map<std::string, Object>> kinds;
+		std::vector<Change> history;
+		uint64_t revision, floor;
+	} copy_;
+	uint64_t revision_ = 10, floor_ = 0, era_ = 1;
 	int slow_ms_ = 0, lose_writes_ = 0;
 	struct event *tick_ = nullptr;
 };
--- a/tests/support/held_store.h
+++ b/tests/support/held_store.h
@@ -28,6 +28,18 @@
 	std::vector<Call> calls;
 	int cancelled = 0;
 	int start_error = 0; // returned instead of starting a call; 0: none
+	LIST_HEAD(snipe_era_listeners, snipe_era_listener)
+	listeners = LIST_HEAD_INITIALIZER(listeners);
+
+	void change_era(uint64_t era)
+	{
+		struct snipe_era_listener *l, *next;
+
+		for (l = LIST_FIRST(&listeners); l; l = next) {
+			next = LIST_NEXT(l, link);
+			l->era_changed(l, era);
+		}
+	}
 
 	// The calls for objects of one kind, in order.
 	std::vector<Call> calls_of(const std::string &kind) const
@@ -77,8 +89,12 @@
 	{
 		reinterpret_cast<HeldStore *>(s)->cancelled++;
 	}
+	static void listen(struct snipe_object_store *s, struct snipe_era_listener *l)
+	{
+		LIST_INSERT_HEAD(&reinterpret_cast<HeldStore *>(s)->listeners, l, link);
+	}
 	static constexpr struct snipe_object_store_ops ops = {get,     watch, put, cancel,
-							      nullptr, list,  get};
+							      nullptr, list,  get, listen};
 };
 
 #endif
