sync: tables older than those held do not confirm them

What callers would see: the store comes back from a copy with an older manifest than the nodes hold. They kept theirs, and called them the newest with each answer of the store; a manifest that the store had lost as well, and that took a key away, would not have stopped that key.

Cause: a read that returned older tables than those held counted as one that returned the same.

Change: the tables are confirmed by a read only if the store has those that the node holds, or newer ones.

Measured: Sync.OlderTablesInTheStoreConfirmNothingUntilItHasThoseHeld failed before and passes.

--- a/libs/gateway/sync.c
+++ b/libs/gateway/sync.c
@@ -108,10 +108,10 @@
 	return 0;
 }
 
-/* Loads tables if they are newer than those held. Returns 0, or an error if they cannot be
- * decoded. */
+/* Loads tables if they are newer than those held. Returns 0 and sets *version to theirs, or
+ * returns an error if they cannot be decoded. */
 static int load_tables(struct snipe_sync *s, const char *document, size_t len,
-		       const char *source)
+		       const char *source, uint64_t *version)
 {
 	struct snipe_routing *routing = NULL;
 	struct snipe_error_text err;
@@ -123,6 +123,7 @@
 			  source, len, err.text);
 		return ret;
 	}
+	*version = routing->version;
 	if (s->routing && routing->version <= s->routing->version) {
 		snipe_routing_unref(routing);
 		return 0;
@@ -152,6 +153,21 @@
 		  is_urgent ? snipe_backoff_us(s->rng, reads) : FALLBACK_RETRY_US);
 }
 
+/* Takes over the tables that were read from the store. A store that came back from an older
+ * copy may hold older ones than this node until operators have written theirs again. */
+static void take_stored_tables(struct snipe_sync *s, const struct snipe_object *object)
+{
+	uint64_t held = held_version(s), version = 0;
+
+	s->has_decode_error = load_tables(s, object->value, object->len, "store", &version) < 0;
+	if (!s->has_decode_error && version < held && version != s->stored_version)
+		snipe_log(SNIPE_LOG_WARNING, "tables_older_in_store",
+			  "version=%llx held_version=%llx confirmed_age_ms=%lld",
+			  (unsigned long long)version, (unsigned long long)held,
+			  confirmed_age_ms(s));
+	s->stored_version = version;
+}
+
 static void on_tables_read(void *arg, int err, const struct snipe_object *object)
 {
 	struct snipe_sync *s = arg;
@@ -162,13 +178,14 @@
 		s->version = object->version;
 		s->missing_reads = 0;
 		if (err == 0)
-			s->has_decode_error =
-				load_tables(s, object->value, object->len, "store") < 0;
+			take_stored_tables(s, object);
 		/* Tables that cannot be decoded may revoke a key: nothing is confirmed until
-		 * they are replaced or decoded after another read. */
-		if (!s->has_decode_error)
+		 * they are replaced or decoded after another read. If the store lost the tables
+		 * held, it may have lost newer ones too: nothing is confirmed until it has them
+		 * again. */
+		if (!s->has_decode_error && s->stored_version >= held_version(s))
 			s->config.confirmed(s->config.arg, s->read_sent_us);
-		else if (err == SNIPE_ERR_STALE)
+		else if (s->has_decode_error && err == SNIPE_ERR_STALE)
 			s->version = 0;
 		read_tables(s);
 		return;
@@ -371,6 +388,7 @@
 {
 	struct snipe_sync *s = arg;
 	const struct snipe_msg_object *o;
+	uint64_t version;
 
 	(void)body;
 	(void)body_len;
@@ -390,7 +408,7 @@
 	}
 	o = &reply->u.object;
 	if (o->version && o->value.len)
-		load_tables(s, o->value.data, o->value.len, "node");
+		load_tables(s, o->value.data, o->value.len, "node", &version);
 }
 
 void snipe_sync_fetch_if_newer(struct snipe_sync *s, const struct snipe_address *from,
--- a/libs/gateway/sync.h
+++ b/libs/gateway/sync.h
@@ -52,10 +52,11 @@
 	uint64_t version; /* of the stored object; 0: unknown, so get before watching */
 	int read_handle;  /* of the open read of the tables; 0: none */
 	int64_t read_sent_us;
-	int failures;		/* consecutive failed calls to the store */
-	int missing_reads;	/* consecutive reads that found no tables */
-	int has_decode_error;	/* the newest tables could not be decoded */
-	int64_t unreachable_us; /* when calls to the store began to fail */
+	int failures;		 /* consecutive failed calls to the store */
+	int missing_reads;	 /* consecutive reads that found no tables */
+	int has_decode_error;	 /* the newest tables could not be decoded */
+	uint64_t stored_version; /* of the tables last read from the store; 0: none */
+	int64_t unreachable_us;	 /* when calls to the store began to fail */
 	int is_reachable;
 	int is_fallback_reader; /* reads because other nodes confirmed nothing for too long */
 	struct snipe_log_limit failure_log_limit;
--- a/tests/gateway/sync_test.cc
+++ b/tests/gateway/sync_test.cc
@@ -428,3 +428,26 @@
 		[&] { return store.calls_of("config").size() == reads + 2; }));
 	EXPECT_EQ(last("config").what, "get");
 }
+
+// Guards against a withdrawn key that works on because a node calls its tables the newest while
+// the store, back from a copy, has older ones and may have lost newer ones as well.
+TEST_F(Sync, OlderTablesInTheStoreConfirmNothingUntilItHasThoseHeld)
+{
+	answer(0, 7, "v5");
+	ASSERT_EQ(confirmed, 1);
+	answer(SNIPE_ERR_HISTORY_LOST);
+	expect_read(3, "get");
+	answer(0, 6, "v3");
+	EXPECT_EQ(versions, std::vector<uint64_t>{5}) << "older tables are never loaded";
+	EXPECT_EQ(confirmed, 1);
+	expect_read(4, "watch", 6);
+	answer(SNIPE_ERR_STALE, 6);
+	EXPECT_EQ(confirmed, 1) << "no change since the older tables";
+	expect_read(5, "watch", 6);
+	answer(0, 7, "v5");
+	EXPECT_EQ(confirmed, 2);
+	expect_read(6, "watch", 7);
+	answer(SNIPE_ERR_STALE, 7);
+	EXPECT_EQ(confirmed, 3);
+	EXPECT_EQ(versions, std::vector<uint64_t>{5});
+}
--- a/tests/process/store_drill_test.cc
+++ b/tests/process/store_drill_test.cc
@@ -131,3 +131,33 @@
 	kill(nodes[0]->process->pid(), SIGCONT);
 	expect_withdrawn(acked);
 }
+
+// Guards against a node that starts before the operator has written again, and goes by the
+// older tables of the copy: the key of this test was withdrawn by tables that the store has
+// lost.
+TEST_F(StoreDrill, AKeyThatWasWithdrawnBeforeTheReturnStaysSo)
+{
+	start();
+	store.Copy();
+	tenants[0] = R"(["one",["key-1"],0,0,0])";
+	PutTables();
+	ASSERT_TRUE(loop.until([&] {
+		return read(0, "key-2").status == 401 && read(1, "key-2").status == 401;
+	}));
+	size_t runs = record.runs.size();
+	set_mode(StoreMode::Silent);
+	loop.run_ms(500);
+	store.Restore();
+	set_mode(StoreMode::Up);
+	nodes[1]->process->Kill();
+	Start(1, false);
+	for (int64_t end = snipe_now_us() + 7000000; snipe_now_us() < end; loop.run_ms(10))
+		for (size_t i = 0; i < 2; i++)
+			ASSERT_NE(read(i, "key-2").status, 200) << i;
+	EXPECT_EQ(record.runs.size(), runs);
+	version--;
+	PutTables();
+	EXPECT_TRUE(loop.until([&] {
+		return read(0, "key-1").status == 200 && read(1, "key-1").status == 200;
+	}));
+}
