stop: a late request goes to a server that just started only if it ends in time

Cause: from 3 s on a request is accepted if 1.5 times the longest recent time of its route, plus 0.1 s, is left. The past was measured at warm servers; the new one is cold, as its announcements say, and takes twice as long.

Evidence: 1.2 s before, so 1.9 s were expected, which fit until 3.7 s after the signal, when the last such request was sent. Each takes 2.4 s at the new server, which begins it within milliseconds and has slots to spare; the answers come 5.6 s after the signal, as scheduled.

Change: a route keeps the longest recent time of requests at cold servers, or with cold servers further down their chain, apart from all others, and a request is measured by the times of the servers that it may run at; without them, by its deadline. Late in a stop warm servers are chosen first, also for second attempts. An unanswered request that keeps no ready response waiting is broken off 0.2 s before the end of the grace time instead of 0.4 s.

No factor for cold servers is assumed, so the fix holds however slow they are.

--- a/libs/core/placement.c
+++ b/libs/core/placement.c
@@ -97,8 +97,33 @@
 {
 	struct snipe_placement_server *s = server_at(p, server);
 
-	if (s)
-		s->cold_until_us = until_us;
+	if (!s)
+		return;
+	s->cold_until_us = until_us;
+	p->cold_until_us = MAX(p->cold_until_us, until_us);
+}
+
+static int is_cold(const struct snipe_placement_server *s, int64_t now_us)
+{
+	return now_us < s->cold_until_us;
+}
+
+int snipe_placement_is_cold(const struct snipe_placement *p, int server, int64_t now_us)
+{
+	return server >= 0 && server < p->size && is_cold(&p->servers[server], now_us);
+}
+
+int snipe_placement_may_be_cold(const struct snipe_placement *p, int64_t now_us)
+{
+	return now_us < p->cold_until_us;
+}
+
+int snipe_placement_has_warm(const struct snipe_placement *p, int64_t now_us)
+{
+	for (int i = 0; i < p->size; i++)
+		if (p->servers[i].is_usable && !is_cold(&p->servers[i], now_us))
+			return 1;
+	return 0;
 }
 
 static double decayed_failure_rate(const struct snipe_placement_server *s, int64_t now_us)
@@ -158,7 +183,7 @@
 	double service =
 		s->load.service_us > 0 ? (double)s->load.service_us : means->service_us;
 
-	return now_us < s->cold_until_us ? service * COLD_FACTOR : service;
+	return is_cold(s, now_us) ? service * COLD_FACTOR : service;
 }
 
 /* Returns the expected time of a request on this server under its load, in microseconds.
@@ -210,8 +235,8 @@
 	return 0;
 }
 
-int snipe_placement_choose(struct snipe_placement *p, int64_t now_us, GRand *rng,
-			   const int *exclude, int exclude_count)
+static int choose(struct snipe_placement *p, int64_t now_us, GRand *rng, int is_warm_only,
+		  const int *exclude, int exclude_count)
 {
 	struct pool_means means = compute_pool_means(p, now_us);
 	double total = 0, draw;
@@ -221,7 +246,8 @@
 		const struct snipe_placement_server *s = &p->servers[i];
 
 		p->weights[i] = 0;
-		if (!s->is_usable || is_excluded(i, exclude, exclude_count))
+		if (!s->is_usable || (is_warm_only && is_cold(s, now_us)) ||
+		    is_excluded(i, exclude, exclude_count))
 			continue;
 		p->weights[i] = server_weight(s, now_us, &means);
 		total += p->weights[i];
@@ -240,6 +266,18 @@
 	return chosen;
 }
 
+int snipe_placement_choose(struct snipe_placement *p, int64_t now_us, GRand *rng,
+			   const int *exclude, int exclude_count)
+{
+	return choose(p, now_us, rng, 0, exclude, exclude_count);
+}
+
+int snipe_placement_choose_warm(struct snipe_placement *p, int64_t now_us, GRand *rng,
+				const int *exclude, int exclude_count)
+{
+	return choose(p, now_us, rng, 1, exclude, exclude_count);
+}
+
 int snipe_placement_is_failing(const struct snipe_placement *p, int server, int64_t now_us)
 {
 	double own, others = 0;
--- a/libs/core/placement.h
+++ b/libs/core/placement.h
@@ -49,6 +49,7 @@
 	struct snipe_placement_server *servers;
 	double *weights; /* of the last choice, by handle */
 	int size;
+	int64_t cold_until_us; /* the latest of all servers, also of those that were removed */
 };
 
 void snipe_placement_init(struct snipe_placement *p);
@@ -67,6 +68,15 @@
  * handle, or SNIPE_ERR_NOT_FOUND if there is none. */
 int snipe_placement_choose(struct snipe_placement *p, int64_t now_us, GRand *rng,
 			   const int *exclude, int exclude_count);
+/* The same, among the servers that are not slow after their start. */
+int snipe_placement_choose_warm(struct snipe_placement *p, int64_t now_us, GRand *rng,
+				const int *exclude, int exclude_count);
+/* Whether the server is slow because it has just started. */
+int snipe_placement_is_cold(const struct snipe_placement *p, int server, int64_t now_us);
+/* Whether a server may be cold; a removed one counts as well. Takes constant time. */
+int snipe_placement_may_be_cold(const struct snipe_placement *p, int64_t now_us);
+/* Whether a usable server is not cold. */
+int snipe_placement_has_warm(const struct snipe_placement *p, int64_t now_us);
 /* Whether the server recently failed more of its attempts than the others, so that a retry on
  * another server may succeed. */
 int snipe_placement_is_failing(const struct snipe_placement *p, int server, int64_t now_us);
--- a/libs/core/stop_schedule.c
+++ b/libs/core/stop_schedule.c
@@ -8,6 +8,7 @@
 #define MIN_IDLE_US 200000
 #define ADMIT_ALL_US 3000000
 #define ANSWER_MARGIN_US 400000
+#define LAST_ANSWER_MARGIN_US 200000
 #define EXIT_MARGIN_US 100000
 
 static int64_t since_us(const struct snipe_stop_schedule *s, int64_t now_us)
@@ -50,14 +51,18 @@
 	return since_us(s, now_us) >= MIN_SERVE_US;
 }
 
+int snipe_stop_schedule_admits_all(const struct snipe_stop_schedule *s, int64_t now_us)
+{
+	return since_us(s, now_us) < ADMIT_ALL_US;
+}
+
 int snipe_stop_schedule_admits(const struct snipe_stop_schedule *s, int64_t now_us,
 			       int64_t takes_us)
 {
-	int64_t since = since_us(s, now_us);
-
 	if (snipe_stop_schedule_is_ending(s, now_us))
 		return 0;
-	return since < ADMIT_ALL_US || since + takes_us < answer_after_us(s);
+	return snipe_stop_schedule_admits_all(s, now_us) ||
+	       since_us(s, now_us) + takes_us < answer_after_us(s);
 }
 
 int snipe_stop_schedule_is_ending(const struct snipe_stop_schedule *s, int64_t now_us)
@@ -65,6 +70,11 @@
 	return s->begin_us && since_us(s, now_us) >= answer_after_us(s);
 }
 
+int snipe_stop_schedule_is_last_answer(const struct snipe_stop_schedule *s, int64_t now_us)
+{
+	return s->begin_us && since_us(s, now_us) >= s->grace_us - LAST_ANSWER_MARGIN_US;
+}
+
 int snipe_stop_schedule_is_over(struct snipe_stop_schedule *s, int64_t now_us, int is_idle)
 {
 	int64_t since = since_us(s, now_us);
--- a/libs/core/stop_schedule.h
+++ b/libs/core/stop_schedule.h
@@ -13,10 +13,17 @@
  *              0.2. Clients stop sending when readiness checks a second apart have failed
  *              twice; requests that cross the second one are still served.
  *   3.0        Requests that may not end in time are rejected. Earlier ones come from clients
- *              that could not know of the stop.
- *   end - 0.4  Requests that are still unanswered get an answer of the node's own, so that
- *              ready responses behind them are sent. Until the exit, clients receive what was
+ *              that could not know of the stop. How long a request takes is known from recent
+ *              requests of its route at servers that were as cold or as warm; without those,
+ *              it may take until its deadline. A server that has just started gets a request
+ *              only if it would still end in time there: a rejection can be repeated at
+ *              another node, a request that is broken off cannot.
+ *   end - 0.4  Nothing is accepted. Unanswered requests get an answer of the node's own where
+ *              ready responses wait behind them. Until the exit, clients receive what was
  *              written.
+ *   end - 0.2  All other unanswered requests get that answer. They have the time between
+ *              because nothing waits for them, and their server may still answer: the client
+ *              then has less time to receive a long response.
  *   end - 0.1  The process exits in any case; at the end of the grace time it would be killed.
  */
 #ifndef SNIPE_STOP_SCHEDULE_H
@@ -43,11 +50,15 @@
 
 int snipe_stop_schedule_rejects_calls(const struct snipe_stop_schedule *s, int64_t now_us);
 int snipe_stop_schedule_closes_idle(const struct snipe_stop_schedule *s, int64_t now_us);
+/* Whether requests are accepted however long they take. */
+int snipe_stop_schedule_admits_all(const struct snipe_stop_schedule *s, int64_t now_us);
 /* Whether a request that takes up to takes_us may be accepted. */
 int snipe_stop_schedule_admits(const struct snipe_stop_schedule *s, int64_t now_us,
 			       int64_t takes_us);
-/* Whether unanswered requests are to be answered now. */
+/* Whether unanswered requests with ready responses behind them are to be answered now. */
 int snipe_stop_schedule_is_ending(const struct snipe_stop_schedule *s, int64_t now_us);
+/* Whether all unanswered requests are to be answered now. */
+int snipe_stop_schedule_is_last_answer(const struct snipe_stop_schedule *s, int64_t now_us);
 /* Whether the process exits now. Call it regularly, since it records how long the process has
  * been idle: nothing is in flight and clients have received all responses. */
 int snipe_stop_schedule_is_over(struct snipe_stop_schedule *s, int64_t now_us, int is_idle);
--- a/libs/gateway/directory.c
+++ b/libs/gateway/directory.c
@@ -73,6 +73,7 @@
 		return pool;
 	pool = g_new0(struct snipe_service_pool, 1);
 	g_strlcpy(pool->service, service, sizeof(pool->service));
+	pool->id = snipe_hash64_str(service);
 	snipe_placement_init(&pool->placement);
 	pool->nodes = g_ptr_array_new();
 	g_hash_table_insert(d->pools, pool->service, pool);
@@ -146,6 +147,22 @@
 	return "";
 }
 
+int snipe_directory_may_be_cold(const struct snipe_directory *d, uint64_t service,
+				int64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, d->pools);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct snipe_service_pool *pool = value;
+
+		if (pool->id == service)
+			return snipe_placement_may_be_cold(&pool->placement, now_us);
+	}
+	return 0;
+}
+
 static void leave_pool(struct snipe_directory_node *n)
 {
 	if (n->pool)
--- a/libs/gateway/directory.h
+++ b/libs/gateway/directory.h
@@ -31,6 +31,7 @@
 /* The backend servers of one service. */
 struct snipe_service_pool {
 	char service[SNIPE_NAME_SIZE];
+	uint64_t id; /* hash of the service's name */
 	struct snipe_placement placement;
 	GPtrArray *nodes; /* of struct snipe_directory_node, by placement handle */
 };
@@ -122,6 +123,10 @@
 						    int server);
 const char *snipe_directory_node_id(const struct snipe_service_pool *pool, int server);
 
+/* Whether a server of the service with this hash may be slow after its start. */
+int snipe_directory_may_be_cold(const struct snipe_directory *d, uint64_t service,
+				int64_t now_us);
+
 /* Appends a JSON array of the nodes. */
 void snipe_directory_dump(const struct snipe_directory *d, struct snipe_buffer *out);
 
--- a/libs/gateway/entry.c
+++ b/libs/gateway/entry.c
@@ -22,11 +22,6 @@
 #define SAVED_TOKENS_RATIO 0.4
 /* Long enough for the client's next request to go to another node. */
 #define RETRY_AFTER_STOPPING_US 100000
-/* A request is expected to take up to this multiple of the longest time of its route's recent
- * requests, and the extra time; with fewer of them, all of its time left. */
-#define TIME_FACTOR 1.5
-#define TIME_EXTRA_US 100000
-#define MIN_TIMES 20
 /* Limits until the tables state them. The header size is that of the project's own interface;
  * the times allow for a slow caller. */
 #define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
@@ -213,16 +208,18 @@
 	       (call->waited_us > CLIENT_CHECK_US && snipe_h1_is_client_gone(call->req));
 }
 
-/* The longest time that the request is expected to take. */
-static int64_t expected_us(const struct snipe_entry_call *call)
+/* Whether the call can end before a stop does, at the servers that it may run at. */
+static int may_end_before_stop(const struct snipe_entry_call *call)
 {
-	int64_t left = call->deadline_us - call->received_us, longest;
-	int count =
-		snipe_recent_max_get(&call->entry_route->times_us, call->received_us, &longest);
+	const struct snipe_entry *e = call->entry;
+	int64_t now = call->received_us;
+	const struct snipe_service_pool *pool;
 
-	if (count < MIN_TIMES)
-		return left;
-	return MIN(left, (int64_t)(TIME_FACTOR * (double)longest) + TIME_EXTRA_US);
+	if (snipe_stop_schedule_admits_all(e->config.stop, now))
+		return 1;
+	pool = snipe_directory_pool(e->config.directory, call->service);
+	return snipe_entry_call_fits_stop(
+		call, now, pool && !snipe_placement_has_warm(&pool->placement, now));
 }
 
 /* Sends a request on or answers it. Returns whether it was admitted. */
@@ -242,11 +239,11 @@
 		return 0;
 	}
 	call->entry_route = find_entry_route(e, call->route->name);
-	if (!snipe_stop_schedule_admits(e->config.stop, call->received_us, expected_us(call))) {
+	call->service = choose_service(call->entry_route, call->route);
+	if (!may_end_before_stop(call)) {
 		snipe_entry_call_fail_with(call, 503, "stopping", RETRY_AFTER_STOPPING_US);
 		return 0;
 	}
-	call->service = choose_service(call->entry_route, call->route);
 	call->entry_service = find_entry_service(e, call->service);
 	/* Inner calls, which the backend server makes, carry no key. */
 	call->is_inner = call->workspace < 0 && call->routing->needs_keys;
@@ -456,18 +453,35 @@
 						   SNIPE_REPORT_MAX_DEMANDS);
 }
 
-void snipe_entry_answer_all(struct snipe_entry *e)
+static void answer_unfinished(struct snipe_entry_call *call)
 {
 	static const struct snipe_entry_error unknown = {502, "stopped_before_answer", 0};
 
-	while (!LIST_EMPTY(&e->calls)) {
-		struct snipe_entry_call *call = LIST_FIRST(&e->calls);
+	call->may_have_run = 1;
+	snipe_entry_call_fail(call, &unknown);
+}
+
+void snipe_entry_answer_blocking(struct snipe_entry *e)
+{
+	struct snipe_entry_call *call = LIST_FIRST(&e->calls);
 
-		call->may_have_run = 1;
-		snipe_entry_call_fail(call, &unknown);
+	while (call) {
+		if (!snipe_h1_delays_response(call->req)) {
+			call = LIST_NEXT(call, link);
+			continue;
+		}
+		/* The answer may end other calls as well. */
+		answer_unfinished(call);
+		call = LIST_FIRST(&e->calls);
 	}
 }
 
+void snipe_entry_answer_all(struct snipe_entry *e)
+{
+	while (!LIST_EMPTY(&e->calls))
+		answer_unfinished(LIST_FIRST(&e->calls));
+}
+
 int snipe_entry_in_flight(const struct snipe_entry *e)
 {
 	return e->in_flight;
--- a/libs/gateway/entry.h
+++ b/libs/gateway/entry.h
@@ -89,6 +89,8 @@
 			     struct snipe_node_report *report);
 /* Answers all requests in flight with a status that leaves open whether they ran. */
 void snipe_entry_answer_all(struct snipe_entry *e);
+/* The same for those that keep ready responses on their connection waiting. */
+void snipe_entry_answer_blocking(struct snipe_entry *e);
 /* Returns the number of requests that have not been answered. */
 int snipe_entry_in_flight(const struct snipe_entry *e);
 /* Appends the state as a JSON object. */
--- a/libs/gateway/entry_call.c
+++ b/libs/gateway/entry_call.c
@@ -24,6 +24,11 @@
 #define HEDGE_DELAY_EXTRA_US 100000
 /* Weight of one attempt in the moving mean of attempt times, which covers about the last 20. */
 #define ATTEMPT_TIME_WEIGHT 0.05
+/* A request is expected to take up to this multiple of the longest time of its route's recent
+ * requests, and the extra time; with fewer of them, all of its time left. */
+#define TIME_FACTOR 1.5
+#define TIME_EXTRA_US 100000
+#define MIN_TIMES 20
 /* Why an attempt failed whose node was lost after the call had left for it. */
 #define NODE_LOST "node_lost"
 /* Shortest Retry-After of a rejection: a few round trips. */
@@ -144,11 +149,40 @@
 				 call->route->priority);
 }
 
+static struct snipe_recent_max *route_times(const struct snipe_entry_call *call, int is_cold)
+{
+	return is_cold ? &call->entry_route->cold_times_us : &call->entry_route->times_us;
+}
+
 void snipe_entry_call_record_time(struct snipe_entry_call *call)
 {
 	int64_t now = snipe_now_us();
 
-	snipe_recent_max_add(&call->entry_route->times_us, now, now - call->received_us);
+	snipe_recent_max_add(route_times(call, call->is_cold), now, now - call->received_us);
+}
+
+int snipe_entry_call_has_cold_chain(const struct snipe_entry_call *call, int64_t now_us)
+{
+	const struct snipe_chain_cost *cost = snipe_entry_call_cost(call);
+	uint64_t own = snipe_hash64_str(call->service);
+
+	for (int i = 0; i < cost->count; i++)
+		if (cost->services[i].service != own &&
+		    snipe_directory_may_be_cold(call->entry->config.directory,
+						cost->services[i].service, now_us))
+			return 1;
+	return 0;
+}
+
+int snipe_entry_call_fits_stop(const struct snipe_entry_call *call, int64_t now_us, int is_cold)
+{
+	int64_t left = call->deadline_us - now_us, takes = left, longest;
+
+	if (!is_cold)
+		is_cold = snipe_entry_call_has_cold_chain(call, now_us);
+	if (snipe_recent_max_get(route_times(call, is_cold), now_us, &longest) >= MIN_TIMES)
+		takes = (int64_t)(TIME_FACTOR * (double)longest) + TIME_EXTRA_US;
+	return snipe_stop_schedule_admits(call->entry->config.stop, now_us, MIN(left, takes));
 }
 
 void snipe_entry_call_fail(struct snipe_entry_call *call, const struct snipe_entry_error *error)
@@ -472,18 +506,26 @@
 	snipe_counters_add(e->config.counters, e->busy_answered, snipe_now_us() - start);
 }
 
-/* Chooses a server that this call has not tried. Returns its handle or a negative error. */
+/* Chooses a server that this call has not tried. Returns its handle or a negative error. Late
+ * in a stop, one that has just started is chosen only if it will answer in time. */
 static int choose_server(struct snipe_entry_call *call)
 {
 	struct snipe_entry *e = call->entry;
-	int tried[SNIPE_ENTRY_MAX_ATTEMPTS];
+	int64_t now = snipe_now_us();
+	int tried[SNIPE_ENTRY_MAX_ATTEMPTS], server;
 
 	call->pool = snipe_directory_pool(e->config.directory, call->service);
 	if (!call->pool)
 		return SNIPE_ERR_NOT_FOUND;
 	for (int i = 0; i < call->attempt_count; i++)
 		tried[i] = call->attempts[i].server;
-	return snipe_placement_choose(&call->pool->placement, snipe_now_us(), e->rng, tried,
+	if (!snipe_stop_schedule_admits_all(e->config.stop, now)) {
+		server = snipe_placement_choose_warm(&call->pool->placement, now, e->rng, tried,
+						     call->attempt_count);
+		if (server >= 0 || !snipe_entry_call_fits_stop(call, now, 1))
+			return server;
+	}
+	return snipe_placement_choose(&call->pool->placement, now, e->rng, tried,
 				      call->attempt_count);
 }
 
@@ -495,6 +537,10 @@
 	a->call = call;
 	a->server = server;
 	a->started_us = snipe_now_us();
+	call->is_cold =
+		call->is_cold ||
+		snipe_placement_is_cold(&call->pool->placement, server, a->started_us) ||
+		snipe_entry_call_has_cold_chain(call, a->started_us);
 	call->open_attempts++;
 	msg.type = SNIPE_MSG_CALL;
 	memset(&msg.u.call, 0, offsetof(struct snipe_msg_call, headers));
--- a/libs/gateway/entry_state.h
+++ b/libs/gateway/entry_state.h
@@ -24,8 +24,10 @@
 	int cost_handle;	/* in the route costs */
 	double chain_credit;	/* accumulated parts of a request that may be admitted */
 	double mean_attempt_us; /* of the attempts that were answered; 0: none yet */
-	struct snipe_recent_max times_us; /* of requests that ran or may have run */
-	int *current_weights;		  /* of the targets, for smooth weighted round robin */
+	/* How long requests took that ran or may have run: at servers that had just started, or
+	 * with calls to a service with such servers, and all others. */
+	struct snipe_recent_max cold_times_us, times_us;
+	int *current_weights; /* of the targets, for smooth weighted round robin */
 	int current_weight_count;
 	char targets[256]; /* services that current_weights belongs to */
 };
@@ -64,6 +66,7 @@
 	int is_inner;		 /* made by a backend server, not by a client */
 	int is_limited;		 /* counted by the route's limit */
 	int is_trial;		 /* suspect of crashing servers, but admitted */
+	int is_cold;		 /* its time counts among the cold times of the route */
 	const char *service;
 	struct snipe_entry_route *entry_route;
 	struct snipe_entry_service *entry_service;
@@ -112,6 +115,13 @@
 void snipe_entry_call_init_timers(struct snipe_entry_call *call);
 /* Starts the timer that ends the call soon after its deadline. */
 void snipe_entry_call_start_timer(struct snipe_entry_call *call);
+/* Whether a stop, if one has begun, leaves the time that the call is expected to take from now
+ * on. is_cold: at a server that has just started. */
+int snipe_entry_call_fits_stop(const struct snipe_entry_call *call, int64_t now_us,
+			       int is_cold);
+/* Whether a service that the call needs further down its chain may have servers that have just
+ * started. */
+int snipe_entry_call_has_cold_chain(const struct snipe_entry_call *call, int64_t now_us);
 /* Records how long the call has taken, for a call that ran or may have run. */
 void snipe_entry_call_record_time(struct snipe_entry_call *call);
 /* Cancels the open attempts and frees the call without an answer. */
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -604,8 +604,10 @@
 		snipe_gate_stop(&g->gate);
 	if (snipe_stop_schedule_closes_idle(&g->stop, now))
 		snipe_h1_server_close_idle(&g->entry.server);
-	if (snipe_stop_schedule_is_ending(&g->stop, now))
+	if (snipe_stop_schedule_is_last_answer(&g->stop, now))
 		snipe_entry_answer_all(&g->entry);
+	else if (snipe_stop_schedule_is_ending(&g->stop, now))
+		snipe_entry_answer_blocking(&g->entry);
 	if (snipe_stop_schedule_is_over(&g->stop, now, is_idle(g)))
 		event_base_loopbreak(g->base);
 }
--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -357,6 +357,14 @@
 		snipe_h1_stream_resume(&c->stream);
 }
 
+int snipe_h1_delays_response(const struct snipe_h1_request *req)
+{
+	for (const struct snipe_h1_request *r = req->next; r; r = r->next)
+		if (r->response.len > 0 && !r->is_rejected)
+			return 1;
+	return 0;
+}
+
 static void append_request(struct snipe_h1_connection *c, struct snipe_h1_request *req)
 {
 	req->next = NULL;
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -143,6 +143,9 @@
 /* Answers a request and frees it. */
 void snipe_h1_respond(struct snipe_h1_request *req, const struct snipe_h1_response *response);
 
+/* Whether a response other than a rejection is ready behind this unanswered request. */
+int snipe_h1_delays_response(const struct snipe_h1_request *req);
+
 /* From now on, each connection ends after the response to the last request received on it. */
 void snipe_h1_server_close_gracefully(struct snipe_h1_server *s);
 /* Ends connections without a request in progress or a response to write. */
--- a/tests/core/placement_test.cc
+++ b/tests/core/placement_test.cc
@@ -115,6 +115,14 @@
 	std::vector<int> n = t.count_choices(1000);
 	EXPECT_GT(n[cold], 10);
 	EXPECT_GT(n[warm], 2 * n[cold]);
+	EXPECT_TRUE(snipe_placement_has_warm(&t.p, START_US));
+	for (int i = 0; i < 100; i++)
+		EXPECT_EQ(snipe_placement_choose_warm(&t.p, START_US, t.rng, nullptr, 0), warm);
+	snipe_placement_set_usable(&t.p, warm, 0);
+	EXPECT_FALSE(snipe_placement_has_warm(&t.p, START_US));
+	EXPECT_LT(snipe_placement_choose_warm(&t.p, START_US, t.rng, nullptr, 0), 0);
+	EXPECT_EQ(snipe_placement_choose_warm(&t.p, START_US + 3000000, t.rng, nullptr, 0),
+		  cold);
 }
 
 TEST(Placement, HandleWithAnAttemptInFlightIsNotReused)
--- a/tests/core/stop_schedule_test.cc
+++ b/tests/core/stop_schedule_test.cc
@@ -52,6 +52,16 @@
 	EXPECT_FALSE(snipe_stop_schedule_admits(&s, after(5.6), 0));
 }
 
+// Guards against a request that is broken off while its server may still answer it in time.
+TEST_F(StopSchedule, TheLastAnswersAreGivenShortlyBeforeTheExit)
+{
+	EXPECT_FALSE(snipe_stop_schedule_is_ending(&s, after(5.5)));
+	EXPECT_TRUE(snipe_stop_schedule_is_ending(&s, after(5.6)));
+	EXPECT_FALSE(snipe_stop_schedule_is_last_answer(&s, after(5.7)));
+	EXPECT_TRUE(snipe_stop_schedule_is_last_answer(&s, after(5.8)));
+	EXPECT_FALSE(snipe_stop_schedule_is_over(&s, after(5.8), 0));
+}
+
 TEST_F(StopSchedule, ExitsEarlyOnlyAfterAnIdleTime)
 {
 	EXPECT_FALSE(snipe_stop_schedule_is_over(&s, after(2.5), 1));
--- a/tests/gateway/entry_test.cc
+++ b/tests/gateway/entry_test.cc
@@ -49,6 +49,7 @@
 	std::vector<ReceivedCall> calls;
 	int cancel_count = 0;
 	struct snipe_chain_cost cost = {}; // stated by the answers of the servers
+	int64_t cold_left_us[2] = {0, 0};  // stated by the reports
 
 	static void on_call(void *arg, const struct snipe_peer_origin *from,
 			    const struct snipe_message *m, const char *body, size_t len)
@@ -232,6 +233,7 @@
 			r.server = SNIPE_SERVER_READY;
 			r.limit = 10;
 			r.running = busy;
+			r.cold_left_us = cold_left_us[i];
 			if (demand) {
 				r.demands[0] = *demand;
 				r.demand_count = 1;
@@ -306,6 +308,44 @@
 		}
 		snipe_peer_reply(c.node, &c.from, &m, body.data(), body.size());
 	}
+	// Sends requests one after the other, which the servers answer at once.
+	void serve(const std::string &path, int count)
+	{
+		for (int i = 0; i < count; i++) {
+			size_t before = calls.size();
+			Socket c = connect_and_send(path);
+
+			ASSERT_TRUE(wait_for_calls(before + 1));
+			reply(calls[before], SNIPE_ANSWER_COMPLETE);
+			ASSERT_EQ(status(c), 200);
+		}
+	}
+	// Reports a server of a service that has just started, from a third node.
+	void send_cold_report(const char *service)
+	{
+		struct snipe_node_report r = {};
+		struct snipe_buffer buf;
+		struct sockaddr_storage ss;
+		int len = snipe_address_to_sockaddr(&settings.peer_listen, &ss);
+
+		strcpy(r.node_id, "s3");
+		strcpy(r.service, service);
+		strcpy(r.server_id, "i-3");
+		r.process = 1;
+		r.sequence = 1;
+		r.server = SNIPE_SERVER_READY;
+		r.limit = 10;
+		r.cold_left_us = 3000000;
+		snipe_buffer_init(&buf);
+		snipe_report_encode(&r, &buf);
+		sendto(report_sockets[0], buf.data, buf.len, 0, (struct sockaddr *)&ss,
+		       (socklen_t)len);
+		snipe_buffer_finish(&buf);
+		ASSERT_TRUE(loop.until([&] {
+			return snipe_directory_may_be_cold(
+				&directory, snipe_hash64_str(service), snipe_now_us());
+		}));
+	}
 	double available_tokens()
 	{
 		struct snipe_quota_view v = {};
@@ -660,6 +700,84 @@
 	EXPECT_EQ(calls.size(), 20u);
 }
 
+// Guards against requests that a stop breaks off because their server, which has just started,
+// takes longer than the servers at which the route's times were measured.
+TEST_F(Entry, AStoppingNodeKeepsLateRequestsFromServersThatJustStarted)
+{
+	apply_default_tables();
+	serve("/read/x", 20);
+	snipe_stop_schedule_begin(&stop, snipe_now_us() - 4600000, 6000000);
+	cold_left_us[0] = cold_left_us[1] = 3000000;
+	Socket c = connect_and_send("/read/x");
+	EXPECT_EQ(status(c), 503) << "nothing was measured at servers that are cold";
+	EXPECT_TRUE(c.has("Retry-After: "));
+	Socket brief = connect_and_send("/read/x", "Left: 500\r\n");
+	ASSERT_TRUE(wait_for_calls(21)) << "its client waits no longer than the node runs";
+	EXPECT_EQ(calls.size(), 21u);
+}
+
+TEST_F(Entry, AStoppingNodeSendsLateRequestsToServersThatAreWarm)
+{
+	apply_default_tables();
+	serve("/read/x", 20);
+	snipe_stop_schedule_begin(&stop, snipe_now_us() - 4200000, 6000000);
+	cold_left_us[0] = 3000000;
+	serve("/read/x", 30);
+	for (size_t i = 20; i < calls.size(); i++)
+		EXPECT_EQ(calls[i].node, &servers[1]) << i;
+}
+
+// Guards against service that is denied late in a stop although the times at servers that have
+// just started are known.
+TEST_F(Entry, AStoppingNodeServesWhatWasQuickAtServersThatJustStarted)
+{
+	cold_left_us[0] = cold_left_us[1] = 30000000;
+	apply_default_tables();
+	serve("/read/x", 20);
+	snipe_stop_schedule_begin(&stop, snipe_now_us() - 4600000, 6000000);
+	Socket quick = connect_and_send("/read/x");
+	ASSERT_TRUE(wait_for_calls(21));
+}
+
+// Guards against an estimate that knows nothing of servers further down the chain.
+TEST_F(Entry, AStoppingNodeExpectsLongerTimesIfServersFurtherDownJustStarted)
+{
+	apply_default_tables();
+	cost.count = 2;
+	cost.services[0] = {snipe_hash64_str("tips"), 5000};
+	cost.services[1] = {snipe_hash64_str("other"), 5000};
+	serve("/read/x", 20);
+	snipe_stop_schedule_begin(&stop, snipe_now_us() - 4600000, 6000000);
+	Socket before = connect_and_send("/read/x");
+	ASSERT_TRUE(wait_for_calls(21));
+	send_cold_report("other");
+	Socket after = connect_and_send("/read/x");
+	EXPECT_EQ(status(after), 503);
+	EXPECT_EQ(calls.size(), 21u);
+}
+
+// Guards against a request that a stop breaks off although nothing waits for its answer and its
+// server still gives one.
+TEST_F(Entry, AnUnansweredRequestThatDelaysNothingWaitsOnWhenAStopEnds)
+{
+	apply_default_tables();
+	Socket alone = connect_and_send("/read/alone"), c = connect_and_send("/read/slow");
+	send(c, "/read/quick");
+	ASSERT_TRUE(wait_for_calls(3));
+	for (const ReceivedCall &call : calls)
+		if (call.path == "/read/quick")
+			reply(call, SNIPE_ANSWER_COMPLETE, 200, "quick");
+	ASSERT_TRUE(loop.until([&] { return snipe_entry_in_flight(&entry) == 2; }));
+	snipe_entry_answer_blocking(&entry);
+	ASSERT_TRUE(loop.until([&] { return c.has("quick"); }));
+	EXPECT_EQ(c.in.rfind("HTTP/1.1 502", 0), 0u) << c.in;
+	ASSERT_EQ(snipe_entry_in_flight(&entry), 1);
+	for (const ReceivedCall &call : calls)
+		if (call.path == "/read/alone")
+			reply(call, SNIPE_ANSWER_COMPLETE);
+	EXPECT_EQ(status(alone), 200);
+}
+
 // Guards against responses that are ready and lost since an earlier request of their connection
 // is unanswered when the process ends.
 TEST_F(Entry, ReadyResponsesBehindAnUnansweredRequestAreSentWhenAStopEnds)
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -702,6 +702,73 @@
 	EXPECT_EQ(nodes[1]->process->Wait(), 0);
 }
 
+// Guards against requests that a stopping node accepts by the times of the servers before,
+// sends to one that has just started and is slow, and breaks off.
+TEST_F(Platform, APlannedStopBreaksOffNothingAtAServerThatJustStarted)
+{
+	struct Dose {
+		int run_ms, cold_ms;
+		double cold_factor;
+	};
+
+	routes.push_back(
+		R"(["settle","a.example","/settle/","non_idempotent",6,2,true,null,"bookings"])");
+	start(1, 1);
+	for (const Dose &d : {Dose{1200, 3000, 2}, Dose{500, 5000, 4}, Dose{250, 8000, 8}}) {
+		std::vector<std::unique_ptr<Pending>> sent;
+		size_t old = nodes.size() - 1, begin;
+		auto send_until = [&](int64_t until_us) {
+			while (snipe_now_us() < until_us) {
+				Request r;
+				r.method = "POST";
+				r.path = "/settle/1";
+				r.left_ms = 6000;
+				sent.push_back(Begin(0, r));
+				loop.run_ms(40);
+			}
+		};
+
+		nodes[old]->server->behaviour.run_ms = d.run_ms;
+		send_until(snipe_now_us() + 4000000);
+		begin = sent.size();
+		int64_t stop = snipe_now_us();
+		nodes[0]->process->Signal(SIGTERM);
+		send_until(stop + 1400000);
+		server_cold_ms = d.cold_ms;
+		size_t added = AddNode("bookings", "east");
+		Start(added, false);
+		StartServer(added);
+		nodes[added]->server->behaviour.run_ms = d.run_ms;
+		nodes[added]->server->behaviour.cold_factor = d.cold_factor;
+		send_until(stop + 2000000);
+		nodes[old]->server->Drain();
+		send_until(stop + 5000000);
+		ASSERT_TRUE(loop.until([&] {
+			for (auto &p : sent)
+				if (!p->reply.done)
+					return false;
+			return true;
+		}));
+		EXPECT_EQ(nodes[0]->process->Wait(), 0);
+		// The pages excuse what was sent in the first 3 s.
+		for (size_t i = begin; i < sent.size(); i++) {
+			int64_t after_us = sent[i]->started_us - stop;
+
+			if (after_us <= 3000000 || !runs(sent[i]->request.id))
+				continue;
+			EXPECT_EQ(sent[i]->reply.status, 200)
+				<< "factor " << d.cold_factor << ", sent " << after_us / 1000
+				<< " ms in";
+		}
+		nodes[old]->process->Kill();
+		nodes[old]->server->Die();
+		server_cold_ms = 0;
+		Start(0, false);
+		loop.run_ms(d.cold_ms);
+		ASSERT_TRUE(WaitSettled());
+	}
+}
+
 // A node that is kept alive by slow requests must not take others that its end would cut off.
 TEST_F(Platform, AStoppingNodeRefusesRequestsShortlyBeforeItsEnd)
 {
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -325,8 +325,10 @@
 
 FakeServer::FakeServer(Loop &loop, Record &record, const std::string &service,
 		       const struct snipe_address &address, const struct snipe_address &admin,
-		       const struct snipe_address &outbound, const std::string &id_, int slots)
-    : id(id_), loop_(loop), record_(record), service_(service), address_(address), slots_(slots)
+		       const struct snipe_address &outbound, const std::string &id_, int slots,
+		       int cold_ms)
+    : id(id_), loop_(loop), record_(record), service_(service), address_(address),
+      slots_(slots), cold_until_us_(snipe_now_us() + (int64_t)cold_ms * 1000)
 {
 	static const struct snipe_h1_server_ops ops = {OnRequest, OnCancelled};
 	static const struct timeval beat = {0, 200000};
@@ -382,8 +384,10 @@
 	snipe_address_format(&address_, address);
 	return "{\"service\":\"" + service_ + "\",\"address\":\"" + address +
 	       "\",\"zone\":\"z\",\"version\":\"v1\",\"capacity\":" + std::to_string(slots_) +
-	       ",\"state\":\"" + state +
-	       "\",\"cold-remaining-s\":0,\"sequence\":" + std::to_string(++sequence_) +
+	       ",\"state\":\"" + state + "\",\"cold-remaining-s\":" +
+	       std::to_string((double)std::max<int64_t>(cold_until_us_ - snipe_now_us(), 0) /
+			      1e6) +
+	       ",\"sequence\":" + std::to_string(++sequence_) +
 	       ",\"born\":" + std::to_string(born_ms_) + "}";
 }
 
@@ -483,7 +487,8 @@
 				j->server->Finish(j);
 		},
 		job);
-	int ms = crashes ? 0 : s->behaviour.run_ms;
+	double factor = snipe_now_us() < s->cold_until_us_ ? s->behaviour.cold_factor : 1;
+	int ms = crashes ? 0 : (int)(factor * s->behaviour.run_ms);
 	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
 	event_add(job->timer, &tv);
 }
@@ -686,9 +691,9 @@
 	Node &n = *nodes[node];
 
 	n.server.reset();
-	n.server = std::make_unique<FakeServer>(loop, record, n.service, n.at.app, n.at.admin,
-						n.at.outbound,
-						"i-" + std::to_string(next_server_++), n.slots);
+	n.server = std::make_unique<FakeServer>(
+		loop, record, n.service, n.at.app, n.at.admin, n.at.outbound,
+		"i-" + std::to_string(next_server_++), n.slots, server_cold_ms);
 }
 
 void Deployment::StartAll()
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -125,6 +125,7 @@
 
 struct ServerBehaviour {
 	int run_ms = 5;
+	double cold_factor = 2; // on run_ms while the server is cold
 	double lose = 0;	// part of the answers that are lost after the run, by a reset
 	double silent = 0;	// part that are lost without a reset
 	double refuse = 0;	// part that is not run
@@ -140,7 +141,8 @@
       public:
 	FakeServer(Loop &loop, Record &record, const std::string &service,
 		   const struct snipe_address &address, const struct snipe_address &admin,
-		   const struct snipe_address &outbound, const std::string &id, int slots);
+		   const struct snipe_address &outbound, const std::string &id, int slots,
+		   int cold_ms = 0);
 	~FakeServer();
 	void Drain();
 	void Leave();	     // sends its leaving, and goes on serving
@@ -173,7 +175,7 @@
 	int slots_, running_ = 0;
 	std::string state_ = "ready";
 	uint64_t sequence_ = 0;
-	int64_t born_ms_;
+	int64_t born_ms_, cold_until_us_;
 	bool dead_ = false;
 	struct snipe_h1_server server_;
 	struct snipe_h1_pool admin_, outbound_;
@@ -255,6 +257,7 @@
 	std::vector<std::unique_ptr<Node>> nodes;
 	int version = 0;
 	int node_descriptors = 0; // most that a node started from now on may open; 0: any
+	int server_cold_ms = 0;	  // of servers that are started from now on
 	int node_memory_mb = 0;	  // stated to nodes started from now on; 0: nothing is stated
 	int max_body_bytes = 1000000; // of requests, in the tables
 
