announcements: one that is not whole is refused and changes nothing

Cause: fields that the protocol names were optional in the decoder. The sequence of that ping was taken over and outdated all pings of the server itself, and an outdated ping is answered like one that is in force.

Evidence: the log has announcement_ignored for the draining ping, with the known sequence 1000000.

Change: all fields of the page are required, with type and range; the page's own example lacks "born", which its text requires, and is refused with that reason. A start in the future is refused. An outdated departure of the process in use is answered with 409 instead of 200. Refused announcements change nothing, are counted, and logged at a limited rate.

--- a/libs/gateway/gate.c
+++ b/libs/gateway/gate.c
@@ -49,6 +49,8 @@
 /* After the event loop stalled for this long, calls are rejected as expired: the time left was
  * computed when a call was sent, so its sender may no longer wait. */
 #define STALL_US 400000
+/* A server and its node share a clock, which may have been set back in between. */
+#define MAX_STARTED_AHEAD_MS 3600000
 
 struct snipe_gate_call {
 	struct snipe_gate *gate;
@@ -801,10 +803,43 @@
 	g->config.departed(g->config.arg, &d);
 }
 
+/* Whether the announcement states nothing that this node can use, whatever it knows. */
+static int check_announcement(const struct snipe_gate *g,
+			      const struct snipe_server_announcement *a,
+			      struct snipe_error_text *err)
+{
+	if (a->started_ms > snipe_wall_ms() + MAX_STARTED_AHEAD_MS)
+		return snipe_error_set(err, SNIPE_ERR_INVALID,
+				       "server %s announced a start in the future; set the "
+				       "clocks of its VM",
+				       a->id);
+	if (a->state != SNIPE_SERVER_NONE &&
+	    strcmp(a->service, g->config.settings->service) != 0)
+		return snipe_error_set(
+			err, SNIPE_ERR_INVALID,
+			"server %s announced service %s, but this node serves %s; "
+			"send the announcement to the node beside the server",
+			a->id, a->service, g->config.settings->service);
+	return 0;
+}
+
+/* Whether the announcement states a departure while the process that it names is in use. */
+static int is_departure_of_used(const struct snipe_gate *g,
+				const struct snipe_server_announcement *a)
+{
+	return a->state != SNIPE_SERVER_READY && g->has_server &&
+	       g->server.state == SNIPE_SERVER_READY && strcmp(g->server.id, a->id) == 0 &&
+	       a->started_ms == g->server.started_ms;
+}
+
 int snipe_gate_handle_announcement(struct snipe_gate *g,
 				   const struct snipe_server_announcement *a,
 				   struct snipe_error_text *err)
 {
+	int ret = check_announcement(g, a, err);
+
+	if (ret < 0)
+		return ret;
 	if (is_stale(g, a)) {
 		snipe_log(SNIPE_LOG_INFO, "announcement_ignored",
 			  "server=%s state=%d sequence=%llu started_ms=%lld known=%s "
@@ -813,15 +848,14 @@
 			  (long long)a->started_ms, g->server.id,
 			  (unsigned long long)g->server.sequence,
 			  (long long)g->server.started_ms);
+		/* An acknowledgement would state that the server gets no more requests. */
+		if (is_departure_of_used(g, a))
+			return snipe_error_set(err, SNIPE_ERR_CONFLICT,
+					       "server %s announced a later state before; "
+					       "announce it again with a higher sequence",
+					       a->id);
 		return 0;
 	}
-	if (a->state != SNIPE_SERVER_NONE &&
-	    strcmp(a->service, g->config.settings->service) != 0)
-		return snipe_error_set(
-			err, SNIPE_ERR_INVALID,
-			"server %s announced service %s, but this node serves %s; "
-			"send the announcement to the node beside the server",
-			a->id, a->service, g->config.settings->service);
 	if (a->state != SNIPE_SERVER_READY)
 		record_departure(g, a);
 	if (a->state == SNIPE_SERVER_NONE)
--- a/libs/gateway/gate.h
+++ b/libs/gateway/gate.h
@@ -108,7 +108,9 @@
 void snipe_gate_finish(struct snipe_gate *g);
 
 /* Handles an announcement of the backend server, also of its departure. Returns 0, also for an
- * outdated one, which is ignored, or SNIPE_ERR_INVALID for a server of another service. */
+ * outdated one, which is ignored. Otherwise nothing has changed: SNIPE_ERR_INVALID for a server
+ * of another service or one that starts in the future, and SNIPE_ERR_CONFLICT for an outdated
+ * departure of the process that is in use. */
 int snipe_gate_handle_announcement(struct snipe_gate *g,
 				   const struct snipe_server_announcement *a,
 				   struct snipe_error_text *err);
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -86,7 +86,7 @@
 		int64_t accept_us, read_us, answer_us, gate_us; /* processor time */
 	} logged;	   /* as of the last log line of a late loop */
 	int64_t logged_us; /* when that was */
-	int busy_reports, busy_logs;
+	int busy_reports, busy_logs, count_rejected_announcements;
 	struct snipe_routing *routing;
 	struct snipe_stop_schedule stop;
 	int64_t settings_revision, settings_checked_us;
@@ -249,6 +249,30 @@
 	g_ptr_array_add(g->pending_announcements, req);
 }
 
+static void note_rejected_announcement(struct gateway *g, int err, const char *reason)
+{
+	static struct snipe_log_limit limit;
+	unsigned suppressed;
+
+	snipe_counters_add(&g->counters, g->count_rejected_announcements, 1);
+	if (snipe_log_allow(&limit, snipe_now_us(), SNIPE_LOG_LINES_PER_S, &suppressed))
+		snipe_log(SNIPE_LOG_WARNING, "announcement_rejected",
+			  "err=%s reason=\"%s\" suppressed=%u", snipe_error_name(err), reason,
+			  suppressed);
+}
+
+static int announcement_status(int err)
+{
+	switch (err) {
+	case SNIPE_ERR_NOT_FOUND:
+		return 404;
+	case SNIPE_ERR_CONFLICT:
+		return 409;
+	default:
+		return 400;
+	}
+}
+
 static void on_server_announcement(struct gateway *g, struct snipe_h1_request *req)
 {
 	const struct snipe_dialect *d = g->host->dialect;
@@ -266,10 +290,8 @@
 		return;
 	}
 	if (ret != SNIPE_ERR_NOT_FOUND)
-		snipe_log(SNIPE_LOG_WARNING, "announcement_rejected", "err=%s reason=\"%s\"",
-			  snipe_error_name(ret), err.text);
-	respond_text(req, ret == SNIPE_ERR_NOT_FOUND ? 404 : 400, "text/plain", err.text,
-		     strlen(err.text));
+		note_rejected_announcement(g, ret, err.text);
+	respond_text(req, announcement_status(ret), "text/plain", err.text, strlen(err.text));
 }
 
 /* Responds to a request for metrics or state. Returns 0 if it is another one. */
@@ -966,6 +988,8 @@
 	g->pending_announcements = g_ptr_array_new();
 	snipe_counters_init(&g->counters);
 	snipe_loop_lag_init(&g->lag);
+	g->count_rejected_announcements =
+		snipe_counters_get(&g->counters, "announcements_rejected_total", "");
 	g->busy_reports = snipe_counters_get(&g->counters, "busy_us_total", "work=\"report\"");
 	g->busy_logs = snipe_counters_get(&g->counters, "busy_us_total", "work=\"log\"");
 	snipe_crash_guard_init(&g->guard);
--- a/tests/adapter/dialect_test.cc
+++ b/tests/adapter/dialect_test.cc
@@ -1,6 +1,7 @@
 // Guards against manifests and announcements that are decoded wrongly: fields swapped, missing,
 // unknown or of the wrong type.
 #include <gtest/gtest.h>
+#include <jansson.h>
 
 #include <cstring>
 #include <string>
@@ -231,6 +232,11 @@
 		announcement_with("2.5", "-1"),
 		announcement_with("1700000000123", "1700000000.5"),
 		announcement_with("1700000000123", "\"today\""),
+		announcement_with("1700000000123", "0"),
+		announcement_with("1700000000123", "9007199254740993"),
+		announcement_with("\"sequence\":4", "\"sequence\":9007199254740993"),
+		announcement_with("\"zone\":\"z\"", "\"zone\":1"),
+		announcement_with("\"version\":\"v1\"", "\"version\":null"),
 	};
 
 	for (const auto &body : bad) {
@@ -240,6 +246,57 @@
 	}
 }
 
+// Guards against an announcement of another writer that changes what is known of a server: each
+// field that the protocol names is required.
+TEST(AdapterAnnouncement, OneWithoutAnyOfItsFieldsIsRejected)
+{
+	json_t *whole = json_loads(ANNOUNCEMENT, 0, nullptr);
+	const char *field;
+	json_t *value;
+
+	json_object_foreach(whole, field, value)
+	{
+		json_t *part = json_copy(whole);
+		json_object_del(part, field);
+		char *body = json_dumps(part, 0);
+		DecodedAnnouncement n(HTTP_PUT, "/snipescale/instances/i-1", body);
+
+		EXPECT_EQ(n.ret, SNIPE_ERR_INVALID) << body;
+		free(body);
+		json_decref(part);
+	}
+	json_decref(whole);
+}
+
+// The page's example lacks "born", which its text requires of all that a server says of itself.
+TEST(AdapterAnnouncement, TheExampleOfTheProtocolIsRejectedForWantOfBorn)
+{
+	const std::string example =
+		R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"suva-a","version":"v1",
+"capacity":108,"state":"ready","cold-remaining-s":0,"sequence":4})";
+	DecodedAnnouncement n(HTTP_PUT, "/snipescale/instances/i-7f3a91c2", example);
+
+	EXPECT_EQ(n.ret, SNIPE_ERR_INVALID);
+	EXPECT_NE(std::string(n.err.text).find("\"born\""), std::string::npos) << n.err.text;
+	std::string with_born = example;
+	with_born.insert(with_born.size() - 1, ",\"born\":1700000000123");
+	EXPECT_EQ(DecodedAnnouncement(HTTP_PUT, "/snipescale/instances/i-7f3a91c2", with_born)
+			  .ret,
+		  0);
+}
+
+TEST(AdapterAnnouncement, AFinalOneNeedsNoBodyAndMayStateWhenItsProcessStarted)
+{
+	const char *url = "/snipescale/instances/i-1";
+
+	EXPECT_EQ(DecodedAnnouncement(HTTP_DELETE, url, "").n.started_ms, 0);
+	EXPECT_EQ(
+		DecodedAnnouncement(HTTP_DELETE, url, "{\"born\":1700000000123}").n.started_ms,
+		1700000000123);
+	EXPECT_EQ(DecodedAnnouncement(HTTP_DELETE, url, "{\"born\":1.5}").ret,
+		  SNIPE_ERR_INVALID);
+}
+
 TEST(AdapterAnnouncement, OtherPathsAreNotFound)
 {
 	EXPECT_EQ(DecodedAnnouncement(HTTP_GET, "/snipescale/instances/i-1", "").ret,
--- a/tests/gateway/gate_test.cc
+++ b/tests/gateway/gate_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/hash.h"
 #include "gateway/gate.h"
 #include "support/descriptors.h"
@@ -267,7 +268,8 @@
 	Answer a;
 
 	announce("i-2", SNIPE_SERVER_READY, 5, 2000);
-	announce("i-2", SNIPE_SERVER_DRAINING, 4, 2000); // overtaken by sequence 5
+	EXPECT_EQ(announce("i-2", SNIPE_SERVER_DRAINING, 4, 2000), SNIPE_ERR_CONFLICT)
+		<< "overtaken by sequence 5, and so not to be acknowledged";
 	announce("i-1", SNIPE_SERVER_DRAINING, 9, 1000); // of an earlier process
 	announce("i-1", SNIPE_SERVER_NONE, 0, 1000);
 	EXPECT_EQ(announce("i-3", SNIPE_SERVER_READY, 1, 3000, 20, "other"), SNIPE_ERR_INVALID);
@@ -285,6 +287,24 @@
 	EXPECT_EQ(b.reason, SNIPE_GATE_NO_SERVER);
 }
 
+// Guards against a refused announcement that changes what is known of the server.
+TEST_F(Gate, ARefusedAnnouncementLeavesTheServerAsItWas)
+{
+	struct snipe_server_announcement before;
+
+	announce("i-1", SNIPE_SERVER_READY, 5, 1000);
+	before = gate.server;
+	EXPECT_EQ(announce("i-1", SNIPE_SERVER_READY, 6, 1000, 20, "other"), SNIPE_ERR_INVALID);
+	EXPECT_EQ(announce("i-1", SNIPE_SERVER_READY, 6, snipe_wall_ms() + 7200000),
+		  SNIPE_ERR_INVALID)
+		<< "a start in the future would outdate all that the server says";
+	EXPECT_EQ(announce("i-1", SNIPE_SERVER_DRAINING, 5, 1000), SNIPE_ERR_CONFLICT);
+	EXPECT_EQ(memcmp(&gate.server, &before, sizeof(before)), 0);
+	EXPECT_TRUE(departures.empty());
+	EXPECT_EQ(announce("i-1", SNIPE_SERVER_DRAINING, 6, 1000), 0);
+	EXPECT_EQ(announce("i-1", SNIPE_SERVER_DRAINING, 6, 1000), 0) << "it is in force";
+}
+
 TEST_F(Gate, AServerThatRestartsWithTheSameIdIsUsed)
 {
 	Answer a;
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -391,6 +391,31 @@
 	}
 }
 
+// Guards against an announcement of another writer, without one of its fields, that makes a
+// node ignore and yet acknowledge that its server leaves.
+TEST_F(Platform, ALeavingIsInForceAfterAnAnnouncementOfAnotherWriter)
+{
+	start(1, 2);
+	for (const char *missing :
+	     {"born", "zone", "version", "cold-remaining-s", "sequence"}) {
+		int before = nodes[2]->server->acknowledged;
+		nodes[2]->server->AnnounceForeign(missing);
+		loop.run_ms(300);
+		EXPECT_GT(nodes[2]->server->acknowledged, before) << "its own announcements";
+	}
+	EXPECT_EQ(nodes[2]->server->foreign_acknowledged, 0);
+	FakeServer &leaving = *nodes[2]->server;
+	leaving.Drain();
+	ASSERT_TRUE(loop.until([&] { return leaving.leave_acked_us > 0; }));
+	int64_t acked = leaving.leave_acked_us;
+	while (snipe_now_us() < acked + 3000000)
+		Call(0, pay());
+	for (const ServerRun &r : record.runs)
+		if (r.server == leaving.id) {
+			EXPECT_LE(r.at_us, acked + 2000000) << r.id;
+		}
+}
+
 // Servers that end at the same moment must not make a request that many callers send suspect of
 // having crashed them.
 TEST_F(Platform, APopularRequestIsServedAfterServersEndedTogether)
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -392,17 +392,20 @@
 }
 
 // Sends a notice; leaves: its acknowledgement is that of the leaving.
-void FakeServer::SendCall(bool leave, const std::string &body, bool leaves)
+void FakeServer::SendCall(bool leave, const std::string &body, bool leaves, bool is_foreign)
 {
 	struct Call {
 		FakeServer *server;
-		bool leaves;
+		bool leaves, is_foreign;
 		static void OnDone(void *arg, enum snipe_h1_result result,
 				   const struct snipe_h1_message *m)
 		{
 			auto *n = static_cast<Call *>(arg);
 			if (result == SNIPE_H1_COMPLETE && m->status == 200) {
-				n->server->acknowledged++;
+				if (n->is_foreign)
+					n->server->foreign_acknowledged++;
+				else
+					n->server->acknowledged++;
 				if (n->leaves && !n->server->leave_acked_us)
 					n->server->leave_acked_us = snipe_now_us();
 			}
@@ -416,7 +419,7 @@
 			    "%s /snipescale/instances/%s HTTP/1.1\r\nHost: x\r\nContent-Type: "
 			    "application/json\r\nContent-Length: %zu\r\n\r\n%s",
 			    leave ? "DELETE" : "PUT", id.c_str(), body.size(), body.c_str());
-	snipe_h1_call_start(&admin_, out, 0, &ops, new Call{this, leaves});
+	snipe_h1_call_start(&admin_, out, 0, &ops, new Call{this, leaves, is_foreign});
 	evbuffer_free(out);
 }
 
@@ -433,6 +436,18 @@
 	SendCall(false, Notice("ready"), false);
 }
 
+void FakeServer::AnnounceForeign(const std::string &missing)
+{
+	json_t *notice = json_loads(Notice("ready").c_str(), 0, nullptr);
+
+	json_object_set_new(notice, "sequence", json_integer(1000000));
+	json_object_del(notice, missing.c_str());
+	char *body = json_dumps(notice, 0);
+	SendCall(false, body, false, true);
+	free(body);
+	json_decref(notice);
+}
+
 void FakeServer::Drain()
 {
 	state_ = "draining";
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -147,15 +147,18 @@
 	void Drain();
 	void Leave();	     // sends its leaving, and goes on serving
 	void AnnounceLate(); // sends a notice that says ready, whatever the state
-	void Die();	     // closes all at once
+	// Sends a notice of another writer, with a sequence far ahead and without a field.
+	void AnnounceForeign(const std::string &missing);
+	void Die(); // closes all at once
 	bool Dead() const
 	{
 		return dead_;
 	}
 	ServerBehaviour behaviour;
 	const std::string id;
-	int refused = 0;	    // requests that it did not run
-	int acknowledged = 0;	    // notices
+	int refused = 0;      // requests that it did not run
+	int acknowledged = 0; // notices of its own
+	int foreign_acknowledged = 0;
 	int64_t leave_acked_us = 0; // first acknowledged notice of leaving; 0: none
 
       private:
@@ -165,7 +168,8 @@
 	static void OnBeat(evutil_socket_t, short, void *arg);
 	void SendNotice(bool leave);
 	std::string Notice(const std::string &state);
-	void SendCall(bool leave, const std::string &body, bool leaves);
+	void SendCall(bool leave, const std::string &body, bool leaves,
+		      bool is_foreign = false);
 	void Finish(Job *job);
 	void StartInner(Job *job);
 	Loop &loop_;
