departures: a record that the store lost with a new era is written again

What callers saw: a leaving that the store had confirmed was lost when the store came back from a copy.

Cause: a write counted as done once and for all, and a process that starts took "no record" for "no departure".

Evidence: the store answers 404 to the next process, and no write follows the drill. Either half alone would have kept the server out of use.

Change: in a new era a kept object is read before its next write, since its version is no condition any more, and a departure of the last 15 s counts as kept only once the store has it again. Reports state the era, and whether it was seen for 15 s; a node that hears of a newer one checks its record.

Why it works: the second half needs no write, so it also holds when all nodes are killed at the moment of the return.

In calm no call to the store is added.

--- a/libs/gateway/departure_log.c
+++ b/libs/gateway/departure_log.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 
 int snipe_departure_log_is_writing(const struct snipe_departure_log *l)
@@ -48,6 +49,10 @@
 		  "server=%s started_ms=%lld sequence=%llu version=%llu", d.server_id,
 		  (long long)d.started_ms, (unsigned long long)d.sequence,
 		  (unsigned long long)object->version);
+	if (!*l->departure.server_id) {
+		l->departure = d;
+		l->departed_us = snipe_now_us();
+	}
 	l->config.restored(l->config.arg, &d);
 	report_known(l);
 }
@@ -71,11 +76,21 @@
 		l->config.written(l->config.arg);
 }
 
+/* Later processes need a departure while announcements from before it may arrive. */
+static int must_survive(const struct snipe_kept_object *o)
+{
+	const struct snipe_departure_log *l = (const struct snipe_departure_log *)o;
+
+	return *l->departure.server_id &&
+	       snipe_now_us() - l->departed_us < SNIPE_DEPARTURE_VALID_US;
+}
+
 static const struct snipe_kept_object_ops ops = {
 	.loaded = on_loaded,
 	.append_value = append_value,
 	.stored = on_stored,
 	.failed = on_failed,
+	.must_survive = must_survive,
 };
 
 void snipe_departure_log_init(struct snipe_departure_log *l,
@@ -95,5 +110,11 @@
 void snipe_departure_log_record(struct snipe_departure_log *l, const struct snipe_departure *d)
 {
 	l->departure = *d;
+	l->departed_us = snipe_now_us();
 	snipe_kept_object_changed(&l->object);
 }
+
+void snipe_departure_log_check(struct snipe_departure_log *l)
+{
+	snipe_kept_object_check(&l->object);
+}
--- a/libs/gateway/gateway.c
+++ b/libs/gateway/gateway.c
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "base/memory_limit.h"
 #include "core/loop_lag.h"
+#include "core/era_watch.h"
 #include "core/stop_schedule.h"
 #include "gateway/cost_log.h"
 #include "gateway/crash_log.h"
@@ -69,6 +70,9 @@
 	struct snipe_gate gate;
 	struct snipe_sync sync;
 	struct snipe_departure_log departures;
+	int are_departures_read; /* the store's record of earlier processes, in its present era
+				  */
+	struct snipe_era_watch era;
 	struct snipe_departure_exchange exchange;
 	struct snipe_suspect_log suspects;
 	struct snipe_cost_log cost_log;
@@ -355,8 +359,23 @@
 		MIN(room, SNIPE_CRASH_MAX_REPORTED_STRIKES));
 }
 
+/* A record that the store does not have may be one that it has lost, unless its era is old. */
+static void update_departures_known(struct gateway *g)
+{
+	int64_t now = snipe_now_us();
+
+	snipe_era_watch_see(&g->era, now, g->store->ops->era(g->store));
+	if (g->are_departures_read && snipe_era_watch_is_settled(&g->era, now))
+		snipe_gate_set_departures_known(&g->gate);
+}
+
 static void fill_report(struct gateway *g, int64_t now_us, struct snipe_node_report *report)
 {
+	if (g->store)
+		snipe_era_watch_see(&g->era, now_us, g->store->ops->era(g->store));
+	report->store_era = g->era.era;
+	report->is_era_settled = snipe_era_watch_is_settled(&g->era, now_us);
+
 	g->entry.quota.interval_us = snipe_directory_interval_us(&g->directory);
 	report->routing_version = g->routing ? g->routing->version : 0;
 	snipe_gate_fill_report(&g->gate, now_us, report);
@@ -395,6 +414,10 @@
 	for (int i = 0; i < r->cleared_count; i++)
 		if (snipe_crash_guard_clear(&g->guard, r->cleared[i]))
 			snipe_crash_log_cleared(r->cleared[i], r->node_id);
+	if (snipe_era_watch_hear(&g->era, r->store_era, r->is_era_settled))
+		snipe_departure_log_check(&g->departures);
+	else if (!g->gate.are_departures_known)
+		update_departures_known(g);
 }
 
 static void on_reported(void *arg, int64_t now_us, const struct snipe_node_report *r)
@@ -503,7 +526,8 @@
 {
 	struct gateway *g = arg;
 
-	snipe_gate_set_departures_known(&g->gate);
+	g->are_departures_read = 1;
+	update_departures_known(g);
 }
 
 static void on_departure_returned(void *arg, const struct snipe_departure *d)
--- a/libs/gateway/kept_object.h
+++ b/libs/gateway/kept_object.h
@@ -3,6 +3,9 @@
  * written after each change, on condition that no other writer changed it meanwhile. If one
  * did, or the outcome of a write is unknown, the object is read again before the next write.
  * Failed calls are repeated with a backoff until the store has the latest change.
+ *
+ * In a new era of the store a version is no condition any more, and a write that had succeeded
+ * may be gone: the object is read before the next write, and written again if it must survive.
  */
 #ifndef SNIPE_KEPT_OBJECT_H
 #define SNIPE_KEPT_OBJECT_H
@@ -30,6 +33,9 @@
 	/* The first of consecutive failed calls; err is negative, call is "get" or "put", or
 	 * "start" if the call could not be started. */
 	void (*failed)(struct snipe_kept_object *o, const char *call, int err);
+	/* Whether the value must be in the store again if it is lost with a new era. NULL: it
+	 * is written with its next change. */
+	int (*must_survive)(const struct snipe_kept_object *o);
 };
 
 struct snipe_kept_object_config {
@@ -44,6 +50,7 @@
 struct snipe_kept_object {
 	const struct snipe_kept_object_ops *ops; /* first member: the vtable */
 	struct snipe_kept_object_config config;
+	struct snipe_era_listener era_listener;
 	GRand *rng;
 	struct event retry_timer;
 	int handle;	  /* of the open call; 0: none */
@@ -51,7 +58,8 @@
 	int is_version_known;
 	/* Number of changes made, in the last write, and in the store. */
 	unsigned changes, changes_sent, changes_stored;
-	int failures; /* consecutive */
+	int failures;	   /* consecutive */
+	int may_be_stored; /* the only change is that a new era may have lost the value */
 };
 
 /* Starts to read the object, unless this is the first start of the fleet. */
@@ -62,6 +70,8 @@
 
 /* Starts to write the object: the value that append_value appends has changed. */
 void snipe_kept_object_changed(struct snipe_kept_object *o);
+/* Reads the object if it must survive, to learn whether the store is in a new era. */
+void snipe_kept_object_check(struct snipe_kept_object *o);
 /* Nonzero until the store has confirmed the write of every change. */
 int snipe_kept_object_is_writing(const struct snipe_kept_object *o);
 
--- a/libs/platform/object_store.h
+++ b/libs/platform/object_store.h
@@ -85,6 +85,8 @@
 	/* Adds a listener, which stays until it is removed with LIST_REMOVE or the store
 	 * finishes. */
 	void (*listen)(struct snipe_object_store *store, struct snipe_era_listener *l);
+	/* Returns the newest era that an answer has stated, 0 if none has. */
+	uint64_t (*era)(struct snipe_object_store *store);
 };
 
 /*
--- a/libs/platform/store_client.c
+++ b/libs/platform/store_client.c
@@ -404,6 +404,11 @@
 	LIST_INSERT_HEAD(&c->listeners, l, link);
 }
 
+static uint64_t client_era(struct snipe_object_store *store)
+{
+	return ((struct snipe_store_client *)store)->era;
+}
+
 static void client_finish(struct snipe_object_store *store)
 {
 	struct snipe_store_client *c = (struct snipe_store_client *)store;
@@ -425,6 +430,7 @@
 	.cancel = client_cancel,
 	.finish = client_finish,
 	.listen = client_listen,
+	.era = client_era,
 };
 
 void snipe_store_client_init(struct snipe_store_client *c,
--- a/libs/wire/report.c
+++ b/libs/wire/report.c
@@ -6,7 +6,7 @@
 #include "wire/pack.h"
 
 /* Fields of the datagram, including the version. */
-#define REPORT_FIELD_COUNT 20
+#define REPORT_FIELD_COUNT 22
 /* Demand is encoded in thousandths of a request per second. */
 #define DEMAND_SCALE 1000
 /* Parts and slots are encoded in thousandths. */
@@ -56,6 +56,8 @@
 		msgpack_pack_int(&pk, r->demands[i].rank);
 		msgpack_pack_uint32(&pk, (uint32_t)(r->demands[i].slots * SLOTS_SCALE));
 	}
+	msgpack_pack_uint64(&pk, r->store_era);
+	msgpack_pack_int(&pk, r->is_era_settled);
 }
 
 /* Opens an array of at most max entries of the given number of fields each. Returns the number
@@ -108,6 +110,10 @@
 		r->demands[i].slots = (double)snipe_read_uint(&list) / SLOTS_SCALE;
 	}
 	in->has_error |= list.has_error;
+	if (in->has_error || in->next >= in->array->size)
+		return;
+	r->store_era = snipe_read_uint(in);
+	r->is_era_settled = snipe_read_int_range(in, 0, 1);
 }
 
 static int read_fields(struct snipe_reader *in, void *out)
--- a/libs/wire/report.h
+++ b/libs/wire/report.h
@@ -60,6 +60,8 @@
 	double rejected_ratio; /* recent calls that were rejected for lack of slots, 0 to 1 */
 	struct snipe_chain_demand demands[SNIPE_REPORT_MAX_DEMANDS]; /* of client requests */
 	int demand_count;
+	uint64_t store_era; /* newest era of the store that the node has seen; 0: none */
+	int is_era_settled; /* the era began so long ago that nothing lost with it matters */
 };
 
 void snipe_report_encode(const struct snipe_node_report *r, struct snipe_buffer *out);
--- a/tests/gateway/departure_log_test.cc
+++ b/tests/gateway/departure_log_test.cc
@@ -120,6 +120,77 @@
 	EXPECT_EQ(store.calls[1].version, 9u);
 }
 
+// Guards against a departure that was acknowledged on the strength of a write that is gone.
+TEST_F(DepartureLog, WritesAgainWhatANewEraOfTheStoreHasLost)
+{
+	start(true);
+	record("i-1", 4);
+	store.calls.back().answer(0, 9);
+	store.change_era(2);
+	EXPECT_TRUE(snipe_departure_log_is_writing(&log))
+		<< "it counts as kept once it is there";
+	ASSERT_EQ(store.calls.size(), 2u);
+	EXPECT_EQ(store.calls[1].what, "get") << "version 9 may be that of another change";
+	store.calls.back().answer(SNIPE_ERR_NOT_FOUND);
+	ASSERT_EQ(store.calls.size(), 3u);
+	EXPECT_EQ(store.calls[2].what, "put");
+	EXPECT_EQ(store.calls[2].value, "1000 4 i-1");
+	EXPECT_EQ(store.calls[2].version, 0u);
+	store.calls.back().answer(0, 8);
+	EXPECT_FALSE(snipe_departure_log_is_writing(&log));
+	EXPECT_EQ(written, 2);
+}
+
+TEST_F(DepartureLog, WritesNothingInANewEraThatHasTheDeparture)
+{
+	start(true);
+	record("i-1", 4);
+	store.calls.back().answer(0, 9);
+	store.change_era(2);
+	store.calls.back().answer(0, 9, "1000 4 i-1");
+	EXPECT_FALSE(snipe_departure_log_is_writing(&log));
+	EXPECT_EQ(store.calls.size(), 2u);
+}
+
+TEST_F(DepartureLog, WritesARestoredDepartureAgainToo)
+{
+	start(false);
+	store.calls.back().answer(0, 9, "1000 4 i-1");
+	store.change_era(2);
+	ASSERT_EQ(store.calls.size(), 2u);
+	store.calls.back().answer(0, 5, "900 7 i-0");
+	EXPECT_EQ(restored.size(), 1u);
+	ASSERT_EQ(store.calls.size(), 3u);
+	EXPECT_EQ(store.calls[2].value, "1000 4 i-1");
+	EXPECT_EQ(store.calls[2].version, 5u);
+}
+
+// Two eras in a row, and a departure during the first check.
+TEST_F(DepartureLog, ADepartureDuringTheCheckIsWritten)
+{
+	start(true);
+	record("i-1", 4);
+	store.calls.back().answer(0, 9);
+	store.change_era(2);
+	store.change_era(3);
+	record("i-1", 5);
+	ASSERT_EQ(store.calls.size(), 2u);
+	store.calls.back().answer(0, 9, "1000 4 i-1");
+	ASSERT_EQ(store.calls.size(), 3u);
+	EXPECT_EQ(store.calls[2].value, "1000 5 i-1");
+	EXPECT_TRUE(snipe_departure_log_is_writing(&log));
+}
+
+TEST_F(DepartureLog, WithoutADepartureANewEraCostsNoCall)
+{
+	start(true);
+	store.change_era(2);
+	snipe_departure_log_check(&log);
+	EXPECT_TRUE(store.calls.empty());
+	record("i-1", 4);
+	EXPECT_EQ(store.calls.back().what, "get") << "what was first there may be gone";
+}
+
 TEST_F(DepartureLog, RepeatsAFailedWrite)
 {
 	start(true);
--- a/tests/node/control_task_test.cc
+++ b/tests/node/control_task_test.cc
@@ -135,6 +135,7 @@
 							 MemoryStore::finish,
 							 nullptr,
 							 nullptr,
+							 nullptr,
 							 nullptr};
 
 struct TestNode {
--- a/tests/process/store_drill_test.cc
+++ b/tests/process/store_drill_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <algorithm>
+
 #include "support/deployment.h"
 
 namespace
@@ -70,6 +72,49 @@
 		for (int i = 0; i < d.lost_tables; i++)
 			PutTables();
 	}
+	// Kills nodes and starts them again beside their servers.
+	void restart(const std::vector<size_t> &list)
+	{
+		for (size_t i : list)
+			nodes[i]->process->Kill();
+		for (size_t i : list)
+			Start(i, false);
+		ASSERT_TRUE(loop.until([&] {
+			return std::all_of(list.begin(), list.end(),
+					   [&](size_t i) { return Ready(i); });
+		}));
+	}
+	// A server leaves, the store loses the record, and some nodes are killed soon after its
+	// return. Then a notice from before the leaving arrives.
+	void leave_and_lose(int away_ms, int kill_after_ms, const std::vector<size_t> &killed)
+	{
+		FakeServer *s;
+		size_t runs;
+
+		AddNode("bookings", "east"); // node 0
+		start();
+		s = nodes[0]->server.get();
+		store.Copy();
+		s->Leave();
+		ASSERT_TRUE(loop.until([&] { return s->leave_acked_us > 0; }));
+		loop.run_ms(200);
+		set_mode(StoreMode::Silent);
+		loop.run_ms(away_ms);
+		store.Restore();
+		set_mode(StoreMode::Up);
+		loop.run_ms(kill_after_ms);
+		restart(killed);
+		int acknowledged = s->acknowledged;
+		runs = record.runs.size();
+		s->AnnounceLate();
+		ASSERT_TRUE(loop.until([&] { return s->acknowledged > acknowledged; }));
+		for (int64_t end = snipe_now_us() + 3000000; snipe_now_us() < end;
+		     loop.run_ms(20))
+			read(1, "key-1");
+		EXPECT_GT(record.runs.size(), runs + 30) << "the other server";
+		for (; runs < record.runs.size(); runs++)
+			EXPECT_NE(record.runs[runs].server, s->id);
+	}
 	// Withdraws key-2, in as many versions as give out the revisions that were lost.
 	int64_t withdraw(const Drill &d)
 	{
@@ -161,3 +206,30 @@
 		return read(0, "key-1").status == 200 && read(1, "key-1").status == 200;
 	}));
 }
+
+// Guards against a server that is used again because the store lost the record of its
+// departure, which it had acknowledged, and the node beside it was killed.
+TEST_F(StoreDrill, ADepartureThatTheStoreLostHoldsForTheNextProcess)
+{
+	leave_and_lose(1000, 1000, {0});
+}
+
+TEST_F(StoreDrill, ADepartureThatTheStoreLostHoldsIfItsNodeIsKilledAtTheReturn)
+{
+	leave_and_lose(300, 50, {0});
+}
+
+TEST_F(StoreDrill, ADepartureThatTheStoreLostHoldsAfterAKillOfAllNodes)
+{
+	leave_and_lose(1000, 300, {0, 1, 2, 3});
+}
+
+// A process that cannot know whether the store has lost a departure uses its server from the
+// second announcement on.
+TEST_F(StoreDrill, AServerThatLivesIsUsedAfterTheReturnAndARestartOfItsNode)
+{
+	start();
+	drill({"", 0, 1, 500, 1});
+	restart({2});
+	EXPECT_TRUE(loop.until([&] { return read(0, "key-1").status == 200; }));
+}
--- a/tests/support/held_store.h
+++ b/tests/support/held_store.h
@@ -31,8 +31,11 @@
 	LIST_HEAD(snipe_era_listeners, snipe_era_listener)
 	listeners = LIST_HEAD_INITIALIZER(listeners);
 
+	uint64_t current_era = 0;
+
 	void change_era(uint64_t era)
 	{
+		current_era = era;
 		struct snipe_era_listener *l, *next;
 
 		for (l = LIST_FIRST(&listeners); l; l = next) {
@@ -89,12 +92,16 @@
 	{
 		reinterpret_cast<HeldStore *>(s)->cancelled++;
 	}
+	static uint64_t era(struct snipe_object_store *s)
+	{
+		return reinterpret_cast<HeldStore *>(s)->current_era;
+	}
 	static void listen(struct snipe_object_store *s, struct snipe_era_listener *l)
 	{
 		LIST_INSERT_HEAD(&reinterpret_cast<HeldStore *>(s)->listeners, l, link);
 	}
-	static constexpr struct snipe_object_store_ops ops = {get,     watch, put, cancel,
-							      nullptr, list,  get, listen};
+	static constexpr struct snipe_object_store_ops ops = {
+		get, watch, put, cancel, nullptr, list, get, listen, era};
 };
 
 #endif
--- a/tests/wire/report_test.cc
+++ b/tests/wire/report_test.cc
@@ -36,6 +36,8 @@
 	r.rejected_ratio = 0.25;
 	r.demands[0] = {UINT64_MAX, 34, 1.5};
 	r.demand_count = 1;
+	r.store_era = 3;
+	r.is_era_settled = 1;
 	return r;
 }
 
@@ -77,6 +79,8 @@
 	EXPECT_EQ(out.demands[0].service, UINT64_MAX);
 	EXPECT_EQ(out.demands[0].rank, 34);
 	EXPECT_DOUBLE_EQ(out.demands[0].slots, 1.5);
+	EXPECT_EQ(out.store_era, 3u);
+	EXPECT_EQ(out.is_era_settled, 1);
 	snipe_buffer_finish(&buf);
 }
 
@@ -100,8 +104,8 @@
 	snipe_buffer_finish(&buf);
 }
 
-// During an update of a fleet, reports of the build before have two fields less.
-TEST(Report, ReportsOfTheBuildBeforeAreAccepted)
+// During an update of a fleet, reports of earlier builds have two or four fields less.
+TEST(Report, ReportsOfEarlierBuildsAreAccepted)
 {
 	struct snipe_node_report in = make_report(), out;
 	struct snipe_buffer buf;
@@ -110,15 +114,19 @@
 	in.demand_count = 0;
 	snipe_buffer_init(&buf);
 	snipe_report_encode(&in, &buf);
-	/* An array of 16 or more entries begins with 0xdc and two bytes of length. The last two
-	 * fields are a zero and an empty array, of one byte each. */
+	/* An array of 16 or more entries begins with 0xdc and two bytes of length. The last
+	 * four fields are a zero, an empty array and two small numbers, of one byte each. */
 	ASSERT_EQ((uint8_t)buf.data[0], 0xdc);
-	ASSERT_EQ(buf.data[2], 20);
-	buf.data[2] = 18;
-	ASSERT_EQ(snipe_report_decode(buf.data, buf.len - 2, &out), 0);
-	EXPECT_EQ(out.quota_count, 1);
-	EXPECT_EQ(out.rejected_ratio, 0);
-	EXPECT_EQ(out.demand_count, 0);
+	ASSERT_EQ(buf.data[2], 22);
+	for (size_t missing : {2, 4}) {
+		buf.data[2] = (char)(22 - missing);
+		ASSERT_EQ(snipe_report_decode(buf.data, buf.len - missing, &out), 0);
+		EXPECT_EQ(out.quota_count, 1);
+		EXPECT_EQ(out.rejected_ratio, 0);
+		EXPECT_EQ(out.demand_count, 0);
+		EXPECT_EQ(out.store_era, 0u);
+		EXPECT_EQ(out.is_era_settled, 0);
+	}
 	snipe_buffer_finish(&buf);
 }
 
