h1: a connection that waits for an answer is not given up for new bodies

Cause: when held memory passes its limit, what costs most is given up, its bytes times the time without progress. A client that waits for the answer that the node owes it makes none, and costs more than one that is still uploading.

Evidence: all lost connections had a request at work; answers of a lost link or a call given up at the gate would be 502, and there was none.

Change: a request that waits for its answer costs nothing. What an unfinished body behind it holds is refused with 503; ready answers behind it make its connection the last one to be closed. Such requests may hold seven eighths of the limit: one beyond that is refused, before its body is read if the head states the length. A refused body is freed at once.

--- a/libs/h1/server.c
+++ b/libs/h1/server.c
@@ -34,6 +34,11 @@
 /* A connection without a request is idle after this time. */
 #define FIRST_REQUEST_MAX_US 1000000
 #define CLOSE_HEADER "Connection: close\r\n"
+/* Part of the memory limit that requests may hold whose answers the node owes. */
+#define OWED_RATIO 0.875
+/* Part of its cost with which a connection counts that waits for an answer of this node: it is
+ * given up only if there is nothing else. */
+#define OWED_COST_RATIO 1e-6
 /* When the client of a request that was given up for lack of memory may come back. */
 #define NO_MEMORY_RETRY_AFTER "1"
 
@@ -71,8 +76,14 @@
 	int64_t progress_us;	 /* when that was; 0: not watched yet */
 };
 
+static size_t message_bytes(const struct snipe_h1_message *m)
+{
+	return m->url.size + m->text.size + m->body.size;
+}
+
 static void free_request(struct snipe_h1_request *req)
 {
+	req->connection->server->owed -= req->owed;
 	snipe_memory_release(&req->connection->account, sizeof(*req));
 	snipe_h1_message_finish(&req->message);
 	snipe_buffer_finish(&req->response);
@@ -390,14 +401,40 @@
 	c->reading = NULL;
 	c->is_read_closed = 1;
 	c->read_since_us = 0;
+	/* The response may wait behind others. */
+	snipe_buffer_finish(&req->message.body);
 	append_request(c, req);
 	snipe_h1_respond(req, &r);
 }
 
+/* Whether a request of this size may be passed on. Its bytes are not given up before it is
+ * answered, unlike those of requests that are still being read. */
+static int has_room_for_owed(const struct snipe_h1_server *s, uint64_t bytes)
+{
+	return !s->account || !s->account->limit || bytes < SNIPE_MEMORY_SMALL_BYTES ||
+	       (double)s->owed + (double)bytes <= OWED_RATIO * (double)s->account->limit;
+}
+
+/* Whether the body that the head announces will have to be refused. */
+static int is_body_too_much(const struct snipe_h1_connection *c)
+{
+	uint64_t left = c->parser.parser.content_length;
+
+	return c->parser.has_head && left != UINT64_MAX &&
+	       !has_room_for_owed(c->server, c->reading->message.body.len + left);
+}
+
 static void dispatch_request(struct snipe_h1_connection *c)
 {
 	struct snipe_h1_request *req = c->reading;
+	size_t bytes = message_bytes(&req->message);
 
+	if (!has_room_for_owed(c->server, bytes)) {
+		respond_error(c, 503);
+		return;
+	}
+	req->owed = bytes;
+	c->server->owed += bytes;
 	c->reading = NULL;
 	c->read_since_us = 0;
 	append_request(c, req);
@@ -445,7 +482,9 @@
 	c->has_more_input = consumed < len;
 	switch (result) {
 	case SNIPE_H1_NEED_MORE:
-		if (!had_head)
+		if (!had_head && is_body_too_much(c))
+			respond_error(c, 503);
+		else if (!had_head)
 			send_continue(c);
 		break;
 	case SNIPE_H1_DONE:
@@ -743,6 +782,35 @@
 	return 0;
 }
 
+/* Whether the first request of the connection waits for its answer, and the client has taken
+ * all answers before it: its client is not at fault for what is held. */
+static int is_owed(const struct snipe_h1_connection *c)
+{
+	return c->first && c->first->response.len == 0 &&
+	       snipe_h1_stream_unsent(&c->stream) == 0;
+}
+
+static int has_unfinished_body(const struct snipe_h1_connection *c)
+{
+	return c->reading && message_bytes(&c->reading->message) >= SNIPE_MEMORY_SMALL_BYTES;
+}
+
+/* What it costs to keep the connection as it is, see snipe_memory_cost. */
+static double connection_cost(const struct snipe_h1_connection *c, int64_t now_us)
+{
+	size_t owed = 0;
+
+	if (!is_owed(c))
+		return snipe_memory_cost(c->account.held, c->held_since_us, now_us);
+	if (has_unfinished_body(c))
+		return snipe_memory_cost(message_bytes(&c->reading->message), c->read_since_us,
+					 now_us);
+	for (const struct snipe_h1_request *r = c->first; r; r = r->next)
+		owed += r->owed;
+	return OWED_COST_RATIO *
+	       snipe_memory_cost(c->account.held - owed, c->held_since_us, now_us);
+}
+
 static double find_worst(void *arg, int64_t now_us)
 {
 	struct snipe_h1_server *s = arg;
@@ -753,7 +821,7 @@
 		double cost;
 
 		update_held(c, now_us);
-		cost = snipe_memory_cost(c->account.held, c->held_since_us, now_us);
+		cost = connection_cost(c, now_us);
 		if (cost > most) {
 			most = cost;
 			s->worst = c;
@@ -768,7 +836,8 @@
 	struct snipe_h1_connection *c = s->worst;
 
 	/* What was not read completely was not passed on, and may be refused. */
-	if (c->reading && !c->first && snipe_h1_stream_unsent(&c->stream) == 0)
+	if ((c->reading && !c->first && snipe_h1_stream_unsent(&c->stream) == 0) ||
+	    (is_owed(c) && has_unfinished_body(c)))
 		respond_error(c, 503);
 	else
 		close_connection(c);
--- a/libs/h1/server.h
+++ b/libs/h1/server.h
@@ -31,6 +31,7 @@
 	size_t headers_len;	      /* of the response, without the blank line */
 	int close_requested;	      /* the connection ends after this response */
 	int is_rejected;	      /* the response is a rejection */
+	size_t owed;		      /* bytes of it that count as owed */
 };
 
 struct snipe_h1_slice {
@@ -115,6 +116,7 @@
 	int is_closing;
 	struct snipe_memory_account *account; /* parent of those of the connections */
 	struct snipe_memory_holder holder;
+	size_t owed; /* bytes of requests that were read whole and are not answered */
 	struct snipe_h1_connection *worst; /* of all connections, as last found */
 	const struct snipe_h1_server_ops *ops;
 	void *arg;
--- a/tests/h1/server_test.cc
+++ b/tests/h1/server_test.cc
@@ -586,6 +586,76 @@
 	EXPECT_TRUE(t.loop.until([&] { return other.has("ok"); }));
 }
 
+// Guards against a client that loses its connection, for the sake of new bodies, while the node
+// owes it the answer to a request that has been passed on.
+TEST(H1Server, ForLackOfMemoryAClientThatWaitsForItsAnswerIsKept)
+{
+	BoundedServer t;
+	std::vector<Socket> waiting, others;
+
+	for (int i = 0; i < 2; i++) {
+		waiting.push_back(Socket::connect_to(t.address));
+		waiting[i].send_text(unfinished("/" + std::to_string(i)) + "x");
+	}
+	ASSERT_TRUE(t.wait_for_open(2));
+	t.loop.run_ms(100);
+	for (int i = 0; i < 4; i++) {
+		others.push_back(Socket::connect_to(t.address));
+		others[i].send_text("POST /o HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+				    "chunked\r\n\r\nea60\r\n" +
+				    std::string(59999, 'x'));
+		t.loop.run_ms(20);
+	}
+	for (auto &o : others)
+		EXPECT_TRUE(t.loop.until([&] { return o.has("HTTP/1.1 503 "); }));
+	t.answer("/0", "zero");
+	t.answer("/1", "one");
+	EXPECT_TRUE(t.loop.until([&] { return waiting[0].has("zero"); }));
+	EXPECT_TRUE(t.loop.until([&] { return waiting[1].has("one"); }));
+	EXPECT_EQ(t.s.owed, 0u);
+}
+
+// Guards against a client that sends a body for nothing.
+TEST(H1Server, ForLackOfMemoryABodyIsRefusedBeforeItIsRead)
+{
+	BoundedServer t;
+	Socket a = Socket::connect_to(t.address), b = Socket::connect_to(t.address),
+	       c = Socket::connect_to(t.address);
+
+	a.send_text(unfinished("/a") + "x");
+	b.send_text(unfinished("/b") + "x");
+	ASSERT_TRUE(t.wait_for_open(2));
+	c.send_text("POST /c HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n"
+		    "Expect: 100-continue\r\n\r\n");
+	ASSERT_TRUE(t.loop.until([&] { return c.has("\r\n\r\n"); }));
+	EXPECT_EQ(c.in.compare(0, 13, "HTTP/1.1 503 "), 0) << c.in;
+	EXPECT_TRUE(c.has("Retry-After: 1\r\n"));
+	t.answer("/a", "one");
+	ASSERT_TRUE(t.loop.until([&] { return a.has("one"); }));
+	Socket d = Socket::connect_to(t.address);
+	d.send_text(unfinished("/d") + "x");
+	EXPECT_TRUE(t.wait_for_open(2)) << "there is room again";
+}
+
+// Guards against a client that keeps what it holds by a request that waits for its answer.
+TEST(H1Server, ForLackOfMemoryABodyBehindAnUnansweredRequestIsRefused)
+{
+	BoundedServer t;
+	std::vector<Socket> clients;
+
+	for (int i = 0; i < 4; i++) {
+		clients.push_back(Socket::connect_to(t.address));
+		clients[i].send_text(get("/" + std::to_string(i)) + unfinished("/body"));
+		t.loop.run_ms(20);
+	}
+	ASSERT_TRUE(t.wait_for_open(4));
+	EXPECT_LE(t.memory.account.held, 300000u);
+	t.answer("/0", "zero");
+	ASSERT_TRUE(t.loop.until([&] { return clients[0].has("HTTP/1.1 503 "); }));
+	EXPECT_EQ(clients[0].in.compare(0, 13, "HTTP/1.1 200 "), 0) << clients[0].in;
+	EXPECT_TRUE(clients[0].has("zero"));
+}
+
 // A connection in steady use may always hold something.
 TEST(H1Server, ForLackOfMemoryAConnectionThatMakesProgressIsKept)
 {
