--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -1,12 +1,13 @@
 // Randomized soak: real node processes on loopback, faults from outside in series that overlap,
 // and the promises checked from what clients and backend servers saw.
 //
-//   soak [--seed N] [--seconds N] [--nodes N] [--planned] [--crowd]
+//   soak [--seed N] [--seconds N] [--nodes N] [--planned] [--crowd] [--drills]
 //
 // The same seed draws the same faults and requests. --planned leaves out all faults but planned
 // stops, drains and new tables, and checks that no request is cut off. --crowd adds clients
 // that stop within their bodies or do not read, to nodes on machines of 64 MB, and checks the
-// memory of the nodes. Exit status 0: all promises held; 1: one was broken, with a line each
+// memory of the nodes. --drills adds returns of the store from an older copy and announcements
+// of other writers. Exit status 0: all promises held; 1: one was broken, with a line each
 // and the logs kept.
 #include <getopt.h>
 #include <signal.h>
@@ -35,7 +36,7 @@
 struct Options {
 	unsigned seed = 1;
 	int seconds = 20, nodes = 6;
-	bool planned = false, crowd = false;
+	bool planned = false, crowd = false, drills = false;
 };
 
 struct Asked {
@@ -166,6 +167,8 @@
 	void Collect(bool all);
 	void Fault();
 	void PlannedFault();
+	void Drill();
+	void ForeignAnnouncement(size_t node);
 	void Restart(size_t node, int64_t after_us);
 	void Leave(size_t node);
 	void ChangeTables();
@@ -194,6 +197,7 @@
 	std::map<std::string, int64_t> left_;	   // server -> acknowledgement of its leaving
 	std::map<std::string, std::string> service_of_; // server -> service
 	std::set<size_t> down_;
+	bool is_drilling_ = false;
 	int next_ = 0, next_route_ = 0, broken_ = 0;
 };
 
@@ -434,10 +438,54 @@
 	}
 }
 
+// The store is away for a moment and comes back from a copy some seconds old; the operator
+// writes its tables again.
+void Soak::Drill()
+{
+	int64_t age = 200000 + Draw(4000000), away = 100000 + Draw(2000000);
+	int version = d_.version;
+
+	if (is_drilling_)
+		return;
+	is_drilling_ = true;
+	d_.store.Copy();
+	Later(age, [this] {
+		for (size_t i = 0; i < d_.nodes.size(); i++)
+			d_.store.SetMode(i, StoreMode::Silent);
+	});
+	Later(age + away, [this, version] {
+		d_.store.Restore();
+		for (size_t i = 0; i < d_.nodes.size(); i++)
+			d_.store.SetMode(i, StoreMode::Up);
+		if (d_.version != version) {
+			d_.version--;
+			d_.PutTables();
+		}
+		is_drilling_ = false;
+	});
+}
+
+void Soak::ForeignAnnouncement(size_t node)
+{
+	static const char *const fields[] = {"born",  "zone",	 "version", "sequence",
+					     "state", "service", "address", "capacity"};
+
+	if (!d_.nodes[node]->server->Dead())
+		d_.nodes[node]->server->AnnounceForeign(fields[Draw(8)]);
+}
+
 void Soak::Fault()
 {
 	size_t node = AnyNode();
 	auto &n = *d_.nodes[node];
+
+	if (options_.drills && Draw(3) == 0) {
+		if (Draw(2))
+			Drill();
+		else
+			ForeignAnnouncement(node);
+		return;
+	}
 	int64_t span = 500000 + Draw(4000000);
 	static const StoreMode modes[] = {StoreMode::Busy, StoreMode::Many, StoreMode::Silent};
 
@@ -734,7 +782,8 @@
 	static const struct option longs[] = {
 		{"seed", 1, nullptr, 's'},  {"seconds", 1, nullptr, 't'},
 		{"nodes", 1, nullptr, 'n'}, {"planned", 0, nullptr, 'p'},
-		{"crowd", 0, nullptr, 'c'}, {nullptr, 0, nullptr, 0}};
+		{"crowd", 0, nullptr, 'c'}, {"drills", 0, nullptr, 'd'},
+		{nullptr, 0, nullptr, 0}};
 	Options o;
 	int c;
 
@@ -755,6 +804,9 @@
 		case 'c':
 			o.crowd = true;
 			break;
+		case 'd':
+			o.drills = true;
+			break;
 		default:
 			return 2;
 		}
